Build: Add the design page, the core library and the test command

Starts the repository: CMake targets, format and lint settings, the one command that sets up, builds, checks and tests, and the core library with results, clock, identifiers and the JSON-lines log.

--- /dev/null
+++ b/libraries/core/identifiers.h
@@ -0,0 +1,76 @@
+#ifndef POMELOSPAR_LIBRARIES_CORE_IDENTIFIERS_H_
+#define POMELOSPAR_LIBRARIES_CORE_IDENTIFIERS_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace pomelospar::core {
+
+/// Identifiers in messages: the xxHash64 of the declared name. Names differ in kind, so each kind
+/// of identifier is a type of its own.
+enum class WorkspaceId : std::uint64_t {};
+enum class ClassId : std::uint64_t {};
+enum class UpstreamId : std::uint64_t {};
+enum class DomainId : std::uint64_t {};
+/// A runner is named by its address, "ip:port".
+enum class RunnerId : std::uint64_t {};
+
+std::uint64_t HashName(std::string_view name);
+
+template <typename Id>
+Id IdOf(std::string_view name) {
+  return static_cast<Id>(HashName(name));
+}
+
+template <typename Id>
+std::uint64_t Raw(Id id) {
+  return static_cast<std::uint64_t>(id);
+}
+
+/// Mixes two hashes into one, for rendezvous scores and hash-map keys.
+std::uint64_t CombineHashes(std::uint64_t first, std::uint64_t second);
+
+/// One run of a router process. The address is "ip:port" of its control listener; the incarnation
+/// is drawn at random at start, so that a restarted router is a different identity.
+struct RouterIdentity {
+  std::string address;
+  std::uint64_t incarnation = 0;
+
+  auto operator<=>(const RouterIdentity&) const = default;
+};
+
+/// One group of runners of an upstream in one failure domain, served by one slot allocator.
+struct ShardIdentity {
+  UpstreamId upstream{};
+  DomainId domain{};
+  std::uint32_t index = 0;
+
+  auto operator<=>(const ShardIdentity&) const = default;
+};
+
+std::uint64_t HashOf(const RouterIdentity& router);
+std::uint64_t HashOf(const ShardIdentity& shard);
+
+/// A random 64-bit number from the operating system that is never zero.
+std::uint64_t RandomNonZero();
+
+}  // namespace pomelospar::core
+
+template <>
+struct std::hash<pomelospar::core::RouterIdentity> {
+  std::size_t operator()(const pomelospar::core::RouterIdentity& router) const {
+    return pomelospar::core::HashOf(router);
+  }
+};
+
+template <>
+struct std::hash<pomelospar::core::ShardIdentity> {
+  std::size_t operator()(const pomelospar::core::ShardIdentity& shard) const {
+    return pomelospar::core::HashOf(shard);
+  }
+};
+
+#endif  // POMELOSPAR_LIBRARIES_CORE_IDENTIFIERS_H_
