--- a/meta/lint.sh
+++ b/meta/lint.sh
@@ -13,7 +13,7 @@
 
 lint_file() {
   local file="$1" build="$2" stamps="$3" key
-  key="$( (cat .clang-tidy; clang-tidy --version; python3 meta/preprocess.py "$build" "$file") |
+  key="$( (cat .clang-tidy "$file"; clang-tidy --version; python3 meta/preprocess.py "$build" "$file") |
     sha256sum | cut -d' ' -f1)"
   [ -e "$stamps/$key" ] && return 0
   clang-tidy --quiet -p "$build" "$file" 2> >(grep -v 'warnings generated' >&2) && touch "$stamps/$key"
--- a/meta/preprocess.py
+++ b/meta/preprocess.py
@@ -18,11 +18,13 @@
         if os.path.realpath(entry["file"]) != wanted:
             continue
         words = shlex.split(entry["command"])
-        if os.path.basename(words[0]) == "ccache":
-            words = words[1:]
+        # The compiler follows the ccache launcher and its environment.
+        launchers = [i for i, word in enumerate(words) if os.path.basename(word) == "ccache"]
+        words = words[launchers[0] + 1 :] if launchers else words
         output = words.index("-o")
         del words[output : output + 2]
         words[words.index("-c")] = "-E"
+        words.insert(words.index("-E"), "-P")
         return subprocess.run(words, cwd=entry["directory"], check=False).returncode
     print(f"{sys.argv[2]} is in no target", file=sys.stderr)
     return 1
