Http: Add the server, upstream connections and the client

The daemon relays streams between callers and runners on one I/O thread. Time limits are one lazily moved timer for each connection.

A response whose body would end with the connection is refused: its truncation could not be told from its end.

--- /dev/null
+++ b/libraries/http/byte_stream.h
@@ -0,0 +1,70 @@
+#ifndef POMELOSPAR_LIBRARIES_HTTP_BYTE_STREAM_H_
+#define POMELOSPAR_LIBRARIES_HTTP_BYTE_STREAM_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+#include "libraries/core/result.h"
+
+namespace pomelospar::http {
+
+/// Certificate and key of a server, loaded from PEM files.
+class TlsContext {
+ public:
+  /// Errors: `kInvalidArgument` if a file is missing, unreadable, or key and certificate differ.
+  static core::Result<std::shared_ptr<TlsContext>> Create(const std::string& certificate_file,
+                                                          const std::string& key_file);
+  ~TlsContext();
+  TlsContext(const TlsContext&) = delete;
+  TlsContext& operator=(const TlsContext&) = delete;
+
+  struct State;
+  State& state() { return *this->implementation; }
+
+ private:
+  explicit TlsContext(std::unique_ptr<State> state);
+  std::unique_ptr<State> implementation;
+};
+
+using IoResult = std::tuple<boost::system::error_code, std::size_t>;
+
+/// A connected TCP stream, with or without TLS. One read and one write may be pending at a time.
+class ByteStream {
+ public:
+  explicit ByteStream(boost::asio::ip::tcp::socket socket);
+  ByteStream(boost::asio::ip::tcp::socket socket, TlsContext& context);
+  ~ByteStream();
+  ByteStream(const ByteStream&) = delete;
+  ByteStream& operator=(const ByteStream&) = delete;
+
+  /// Does nothing without TLS.
+  boost::asio::awaitable<boost::system::error_code> Handshake();
+  boost::asio::awaitable<IoResult> ReadSome(boost::asio::mutable_buffer buffer);
+  boost::asio::awaitable<IoResult> WriteAll(boost::asio::const_buffer buffer);
+  /// Says that no more is sent; the peer's bytes can still be read.
+  boost::asio::awaitable<void> ShutdownSend();
+  /// Pending operations end with an error.
+  void Close();
+  /// Closes with a reset, so that the peer sees an error even if the protocol has no end mark.
+  void Reset();
+  bool is_open() const;
+  /// True if nothing waits to be read and the peer has not closed. Does not block.
+  bool IsQuiet();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+/// Parses "ip:port" or "[ip]:port". Errors: `kInvalidArgument`.
+core::Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view address);
+std::string FormatEndpoint(const boost::asio::ip::tcp::endpoint& endpoint);
+
+}  // namespace pomelospar::http
+
+#endif  // POMELOSPAR_LIBRARIES_HTTP_BYTE_STREAM_H_
--- /dev/null
+++ b/libraries/http/http_server.cc
@@ -0,0 +1,154 @@
+#include "libraries/http/http_server.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+#include <vector>
+
+#include "libraries/http/byte_stream.h"
+#include "libraries/http/server_connection.h"
+
+namespace pomelospar::http {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+/// Pause after a failed accept, which mostly means that file descriptors ran out.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+/// Connections beyond the limit that get a 503 at the same time; further ones are closed at once.
+constexpr std::size_t kRefusedAtOnce = 100;
+
+std::string RemoteAddress(const tcp::socket& socket) {
+  boost::system::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  return error ? std::string() : FormatEndpoint(endpoint);
+}
+
+core::Result<void> Listen(tcp::acceptor& acceptor, const tcp::endpoint& endpoint) {
+  boost::system::error_code error;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor.bind(endpoint, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) return core::Success();
+  return core::MakeError(core::ErrorKind::kUnavailable,
+                         fmt::format("cannot listen on {}: {}; choose a free address of this host",
+                                     FormatEndpoint(endpoint), error.message()));
+}
+
+}  // namespace
+
+struct HttpServer::State {
+  explicit State(asio::io_context& io) : acceptor(io) {}
+
+  void Start(tcp::socket socket) {
+    const auto remote_address = RemoteAddress(socket);
+    const auto executor = socket.get_executor();
+    auto stream = this->tls ? std::make_unique<ByteStream>(std::move(socket), *this->tls)
+                            : std::make_unique<ByteStream>(std::move(socket));
+    const auto open = this->server->connections.size();
+    const auto limit = this->server->limits.maximum_connections;
+    // Refusing over TLS would cost a handshake, which is what the limit is there to bound.
+    if (open >= limit + kRefusedAtOnce || (open >= limit && this->tls)) return;
+    const auto connection = std::make_shared<ServerConnection>(this->server, std::move(stream),
+                                                               executor, remote_address);
+    asio::co_spawn(executor, open >= limit ? connection->Refuse() : connection->Run(),
+                   // The connection has to live as long as its coroutine.
+                   [connection](const std::exception_ptr&) {});
+  }
+
+  ServerOptions options;
+  std::shared_ptr<ServerState> server = std::make_shared<ServerState>();
+  std::shared_ptr<TlsContext> tls;
+  tcp::acceptor acceptor;
+  std::string address;
+
+  static asio::awaitable<void> AcceptLoop(std::shared_ptr<State> state) {
+    asio::steady_timer pause(state->acceptor.get_executor());
+    while (state->acceptor.is_open()) {
+      auto [error, socket] = co_await state->acceptor.async_accept(kTuple);
+      if (!state->acceptor.is_open()) break;
+      if (error) {
+        pause.expires_after(kAcceptPause);
+        co_await pause.async_wait(kTuple);
+        continue;
+      }
+      state->Start(std::move(socket));
+    }
+  }
+};
+
+HttpServer::HttpServer(std::shared_ptr<State> shared) : state(std::move(shared)) {}
+
+HttpServer::~HttpServer() {
+  boost::system::error_code ignored;
+  this->state->server->stopping = true;
+  this->state->acceptor.close(ignored);
+  // A copy, because a connection may go away while it is closed.
+  const std::vector<ServerConnection*> open(this->state->server->connections.begin(),
+                                            this->state->server->connections.end());
+  for (auto* connection : open) connection->Close();
+}
+
+core::Result<std::unique_ptr<HttpServer>> HttpServer::Create(asio::io_context& io,
+                                                             ServerOptions options,
+                                                             Handler handler) {
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(options.address));
+  auto state = std::make_shared<State>(io);
+  if (options.certificate_file.empty() != options.key_file.empty()) {
+    return core::MakeError(core::ErrorKind::kInvalidArgument,
+                           "TLS needs both a certificate file and a key file");
+  }
+  if (!options.certificate_file.empty()) {
+    BOOST_OUTCOME_TRY(state->tls, TlsContext::Create(options.certificate_file, options.key_file));
+  }
+  BOOST_OUTCOME_TRY(Listen(state->acceptor, endpoint));
+  boost::system::error_code error;
+  state->address = FormatEndpoint(state->acceptor.local_endpoint(error));
+  state->server->limits = options.limits;
+  state->server->handler = std::move(handler);
+  state->options = std::move(options);
+  asio::co_spawn(io, State::AcceptLoop(state), asio::detached);
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+std::string HttpServer::address() const { return this->state->address; }
+
+void HttpServer::StopAccepting() {
+  this->state->server->stopping = true;
+  boost::system::error_code error;
+  this->state->acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(this->state->acceptor.get_executor());
+    this->state->acceptor.accept(socket, error);
+    if (!error) this->state->Start(std::move(socket));
+  }
+  boost::system::error_code ignored;
+  this->state->acceptor.close(ignored);
+  const std::vector<ServerConnection*> open(this->state->server->connections.begin(),
+                                            this->state->server->connections.end());
+  for (auto* connection : open) connection->StopWhenIdle();
+}
+
+std::size_t HttpServer::active_exchanges() const { return this->state->server->active_exchanges; }
+
+std::size_t HttpServer::connections() const { return this->state->server->connections.size(); }
+
+core::Result<void> HttpServer::ReloadCertificate() {
+  if (!this->state->tls) return core::Success();
+  BOOST_OUTCOME_TRY(this->state->tls, TlsContext::Create(this->state->options.certificate_file,
+                                                         this->state->options.key_file));
+  return core::Success();
+}
+
+void HttpServer::SetLimits(const ServerLimits& limits) { this->state->server->limits = limits; }
+
+}  // namespace pomelospar::http
--- /dev/null
+++ b/libraries/http/message_text.h
@@ -0,0 +1,33 @@
+#ifndef POMELOSPAR_LIBRARIES_HTTP_MESSAGE_TEXT_H_
+#define POMELOSPAR_LIBRARIES_HTTP_MESSAGE_TEXT_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/core/result.h"
+#include "libraries/http/message.h"
+
+namespace pomelospar::http {
+
+/// Appends a request with its body. `Host`, unless given, and the framing are added; framing
+/// headers in `request.headers` are ignored. Errors: `kInvalidArgument` for a header, method or
+/// target that would break the message apart.
+core::Result<void> AppendRequest(const HttpRequest& request, std::string_view host,
+                                 std::string& output);
+
+/// Appends a response head. Framing headers in `head.headers` are ignored.
+core::Result<void> AppendResponseHead(const ResponseHead& head, bool keep_alive,
+                                      std::string& output);
+
+/// Appends one chunk of a chunked body. An empty piece appends nothing, because an empty chunk
+/// would end the body.
+void AppendChunk(std::string_view piece, std::string& output);
+core::Result<void> AppendLastChunk(const std::vector<HttpHeader>& trailers, std::string& output);
+
+/// False for responses that never have a body: 1xx, 204 and 304.
+bool StatusAllowsBody(unsigned status);
+
+}  // namespace pomelospar::http
+
+#endif  // POMELOSPAR_LIBRARIES_HTTP_MESSAGE_TEXT_H_
--- /dev/null
+++ b/libraries/http/server_connection.h
@@ -0,0 +1,115 @@
+#ifndef POMELOSPAR_LIBRARIES_HTTP_SERVER_CONNECTION_H_
+#define POMELOSPAR_LIBRARIES_HTTP_SERVER_CONNECTION_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "libraries/http/byte_stream.h"
+#include "libraries/http/deadline.h"
+#include "libraries/http/server_exchange.h"
+#include "libraries/http/server_options.h"
+
+namespace pomelospar::http {
+
+class ServerConnection;
+
+/// What the connections of one server share.
+struct ServerState {
+  ServerLimits limits;
+  Handler handler;
+  bool stopping = false;
+  std::size_t active_exchanges = 0;
+  std::unordered_set<ServerConnection*> connections;
+};
+
+/// A caller's connection: reads one request after the other and has each answered by the handler.
+/// Internal to the library.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(std::shared_ptr<ServerState> server, std::unique_ptr<ByteStream> stream,
+                   boost::asio::any_io_executor executor, std::string remote_address);
+  ~ServerConnection();
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  /// Serves requests until the connection closes.
+  boost::asio::awaitable<void> Run();
+  /// Answers 503 and closes, for a connection beyond the limit.
+  boost::asio::awaitable<void> Refuse();
+  /// Closes the connection unless it is reading or serving a request.
+  void StopWhenIdle();
+  void Close();
+
+  const HttpRequest& request() const { return this->current_request; }
+  bool started() const { return this->phase != Phase::kNotStarted; }
+  bool disconnected() const { return this->input_closed || !this->stream->is_open(); }
+  boost::asio::awaitable<core::Result<void>> Respond(HttpResponse response);
+  boost::asio::awaitable<core::Result<void>> StartStream(ResponseHead head);
+  boost::asio::awaitable<core::Result<void>> Write(std::string_view piece);
+  boost::asio::awaitable<core::Result<void>> FinishStream(std::vector<HttpHeader> trailers);
+  void Abort();
+  void SetDisconnectHandler(std::function<void()> handler);
+
+ private:
+  enum class Phase { kNotStarted, kStreaming, kFinished, kFailed };
+  /// The caller gets this response, without its request having been given to the handler.
+  struct Refusal {
+    unsigned status = 400;
+    std::string message;
+  };
+  struct ConnectionEnd {};
+  struct RequestRead {};
+  using ReadOutcome = std::variant<RequestRead, ConnectionEnd, Refusal>;
+
+  boost::asio::awaitable<bool> WaitForFirstByte();
+  boost::asio::awaitable<ReadOutcome> ReadRequest();
+  boost::asio::awaitable<bool> WaitForMoreInput();
+  void StartReading();
+  boost::asio::awaitable<void> ReadWhileWanted();
+  boost::asio::awaitable<void> Serve();
+  boost::asio::awaitable<void> CallHandler(ServerExchange& exchange);
+  boost::asio::awaitable<void> SendRefusal(Refusal refusal);
+  boost::asio::awaitable<void> DrainAndClose();
+  boost::asio::awaitable<core::Result<void>> Flush();
+  core::Result<void> AppendHead(const ResponseHead& head);
+  core::Result<void> CountBody(std::size_t bytes);
+  void NotifyDisconnect();
+  void OnDeadline();
+
+  std::shared_ptr<ServerState> server;
+  std::unique_ptr<ByteStream> stream;
+  boost::asio::any_io_executor executor;
+  std::string remote_address;
+  Deadline deadline;
+  /// Cancelled to wake the coroutine that waits for input.
+  boost::asio::steady_timer input_event;
+
+  std::string input;
+  std::vector<char> read_block;
+  bool reading = false;
+  bool input_closed = false;
+  bool served_a_request = false;
+  bool waiting_for_request = false;
+
+  HttpRequest current_request;
+  bool serving = false;
+  bool writing = false;
+  bool keep_alive = false;
+  bool body_expected = true;
+  Phase phase = Phase::kNotStarted;
+  bool chunked = false;
+  std::optional<std::uint64_t> remaining_length;
+  std::string output;
+  std::function<void()> disconnect_handler;
+};
+
+}  // namespace pomelospar::http
+
+#endif  // POMELOSPAR_LIBRARIES_HTTP_SERVER_CONNECTION_H_
--- /dev/null
+++ b/libraries/http/server_exchange.cc
@@ -0,0 +1,41 @@
+#include "libraries/http/server_exchange.h"
+
+#include <utility>
+
+#include "libraries/http/server_connection.h"
+
+namespace pomelospar::http {
+
+namespace asio = boost::asio;
+
+ServerExchange::ServerExchange(ServerConnection& serving) : connection(serving) {}
+
+const HttpRequest& ServerExchange::request() const { return this->connection.request(); }
+
+bool ServerExchange::started() const { return this->connection.started(); }
+
+bool ServerExchange::disconnected() const { return this->connection.disconnected(); }
+
+asio::awaitable<core::Result<void>> ServerExchange::Respond(HttpResponse response) {
+  return this->connection.Respond(std::move(response));
+}
+
+asio::awaitable<core::Result<void>> ServerExchange::StartStream(ResponseHead head) {
+  return this->connection.StartStream(std::move(head));
+}
+
+asio::awaitable<core::Result<void>> ServerExchange::Write(std::string_view piece) {
+  return this->connection.Write(piece);
+}
+
+asio::awaitable<core::Result<void>> ServerExchange::FinishStream(std::vector<HttpHeader> trailers) {
+  return this->connection.FinishStream(std::move(trailers));
+}
+
+void ServerExchange::Abort() { this->connection.Abort(); }
+
+void ServerExchange::SetDisconnectHandler(std::function<void()> handler) {
+  this->connection.SetDisconnectHandler(std::move(handler));
+}
+
+}  // namespace pomelospar::http
--- /dev/null
+++ b/libraries/http/server_options.h
@@ -0,0 +1,41 @@
+#ifndef POMELOSPAR_LIBRARIES_HTTP_SERVER_OPTIONS_H_
+#define POMELOSPAR_LIBRARIES_HTTP_SERVER_OPTIONS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "libraries/core/clock.h"
+
+namespace pomelospar::http {
+
+/// Limits that keep one caller from holding memory or connections without end. They can be
+/// changed while the server runs and then apply from the next request on.
+struct ServerLimits {
+  /// Bytes of the request line and all headers.
+  std::uint32_t header_bytes = 32U << 10U;
+  std::uint64_t body_bytes = 8ULL << 20U;
+  /// From the first byte of a request to the end of its headers; also for the TLS handshake.
+  core::Duration header_timeout = std::chrono::seconds(10);
+  /// From the end of the headers to the end of the body.
+  core::Duration body_timeout = std::chrono::seconds(30);
+  /// How long a connection may stay without a request.
+  core::Duration keep_alive_timeout = std::chrono::seconds(75);
+  /// How long the caller may take to accept one piece of a response.
+  core::Duration write_timeout = std::chrono::seconds(60);
+  std::size_t maximum_connections = 20000;
+};
+
+struct ServerOptions {
+  /// "ip:port"; port 0 lets the system choose.
+  std::string address = "127.0.0.1:0";
+  ServerLimits limits;
+  /// PEM files. TLS is used if both are set.
+  std::string certificate_file;
+  std::string key_file;
+};
+
+}  // namespace pomelospar::http
+
+#endif  // POMELOSPAR_LIBRARIES_HTTP_SERVER_OPTIONS_H_
--- /dev/null
+++ b/libraries/http/upstream_connection.cc
@@ -0,0 +1,259 @@
+#include "libraries/http/upstream_connection.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "libraries/http/byte_stream.h"
+#include "libraries/http/deadline.h"
+#include "libraries/http/message_text.h"
+
+namespace pomelospar::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using ResponseParser = beast::http::response_parser<beast::http::string_body>;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+/// A stream of small events fits a small block; a full one makes the next larger.
+constexpr std::size_t kSmallestReadBlock = 4U << 10U;
+constexpr std::size_t kLargestReadBlock = 64U << 10U;
+constexpr std::uint32_t kHeaderLimit = 64U << 10U;
+/// Unparsed bytes that may wait for the rest of a header, chunk header or trailer.
+constexpr std::size_t kUnparsedLimit = 2 * kLargestReadBlock;
+constexpr unsigned kInterimLimit = 8;
+
+core::Error Malformed(std::string_view address, std::string_view what) {
+  return core::MakeError(core::ErrorKind::kMalformed,
+                         fmt::format("upstream {} sent an invalid response: {}", address, what));
+}
+
+}  // namespace
+
+struct UpstreamConnection::State {
+  State(tcp::socket socket, std::string peer_address)
+      : executor(socket.get_executor()),
+        stream(std::move(socket)),
+        deadline(executor, [this] { this->stream.Close(); }),
+        address(std::move(peer_address)),
+        read_block(kSmallestReadBlock) {}
+
+  core::Error Fail(core::Error error) {
+    this->failed = true;
+    this->stream.Close();
+    return error;
+  }
+
+  core::Error StreamError(std::string_view action) {
+    if (this->deadline.expired()) {
+      return this->Fail(
+          core::MakeError(core::ErrorKind::kTimeout,
+                          fmt::format("upstream {} was too slow: {}", this->address, action)));
+    }
+    return this->Fail(core::MakeError(
+        core::ErrorKind::kClosed,
+        fmt::format("the connection to upstream {} ended: {}", this->address, action)));
+  }
+
+  void ResetParser() {
+    this->parser.emplace();
+    this->parser->header_limit(kHeaderLimit);
+    // The body is passed on in pieces; its length is the caller's concern.
+    this->parser->body_limit(boost::none);
+    this->parser->eager(true);
+    this->parser->skip(this->head_request);
+  }
+
+  /// Gives unparsed bytes to the parser. False if it needs more than there are.
+  core::Result<bool> Parse() {
+    if (this->input.empty()) return false;
+    beast::error_code error;
+    const auto used = this->parser->put(asio::buffer(this->input), error);
+    this->input.erase(0, used);
+    if (error == beast::http::error::need_more) return used > 0;
+    if (error) return this->Fail(Malformed(this->address, error.message()));
+    return true;
+  }
+
+  asio::awaitable<core::Result<void>> ReadMore() {
+    if (this->input.size() > kUnparsedLimit) {
+      co_return this->Fail(core::MakeError(
+          core::ErrorKind::kTooLarge,
+          fmt::format("upstream {} sent a header that is too long", this->address)));
+    }
+    const auto [error, count] = co_await this->stream.ReadSome(asio::buffer(this->read_block));
+    if (error) co_return this->StreamError("before the response was complete");
+    this->input.append(this->read_block.data(), count);
+    if (count == this->read_block.size() && count < kLargestReadBlock) {
+      this->read_block.resize(std::min(count * 4, kLargestReadBlock));
+    }
+    co_return core::Success();
+  }
+
+  /// Why the response's framing cannot be trusted; empty if it can.
+  std::string FramingFault() {
+    const auto status = this->parser->get().result_int();
+    if (status == 101) return "it switches protocols, which was not asked for";
+    if (this->parser->need_eof()) return "its body has neither a length nor chunks";
+    if (this->parser->get().version() != 11) return "it is not HTTP/1.1";
+    return {};
+  }
+
+  ResponseHead Head() {
+    ResponseHead head;
+    const auto& message = this->parser->get();
+    head.status = message.result_int();
+    for (const auto& field : message) {
+      const std::string_view name = field.name_string();
+      if (EqualsIgnoringCase(name, "Content-Length")) continue;
+      if (EqualsIgnoringCase(name, "Transfer-Encoding")) continue;
+      head.headers.push_back({std::string(name), std::string(field.value())});
+    }
+    head.chunked = this->parser->chunked();
+    if (const auto length = this->parser->content_length()) head.content_length = *length;
+    return head;
+  }
+
+  asio::any_io_executor executor;
+  ByteStream stream;
+  Deadline deadline;
+  std::string address;
+  std::optional<ResponseParser> parser;
+  std::string output;
+  std::string input;
+  std::vector<char> read_block;
+  bool head_request = false;
+  bool any_byte_sent = false;
+  bool response_read = true;
+  bool failed = false;
+};
+
+UpstreamConnection::UpstreamConnection(std::unique_ptr<State> owned) : state(std::move(owned)) {}
+UpstreamConnection::~UpstreamConnection() = default;
+
+asio::awaitable<core::Result<std::unique_ptr<UpstreamConnection>>> UpstreamConnection::Open(
+    std::string address, core::Duration connect_timeout) {
+  BOOST_OUTCOME_CO_TRY(const auto endpoint, ParseEndpoint(address));
+  tcp::socket socket(co_await asio::this_coro::executor);
+  Deadline deadline(socket.get_executor(), [&socket] {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  });
+  deadline.ExpireAfter(connect_timeout);
+  const auto [error] = co_await socket.async_connect(endpoint, kTuple);
+  deadline.Clear();
+  if (error || deadline.expired()) {
+    const auto kind =
+        deadline.expired() ? core::ErrorKind::kTimeout : core::ErrorKind::kUnavailable;
+    co_return core::MakeError(
+        kind, fmt::format("cannot connect to {}: {}", address,
+                          deadline.expired() ? "it did not respond in time" : error.message()));
+  }
+  auto state = std::make_unique<State>(std::move(socket), std::move(address));
+  co_return std::unique_ptr<UpstreamConnection>(new UpstreamConnection(std::move(state)));
+}
+
+asio::awaitable<core::Result<void>> UpstreamConnection::Send(const HttpRequest& request,
+                                                             core::Duration timeout) {
+  auto& self = *this->state;
+  self.any_byte_sent = false;
+  // A response that arrives before its request would be taken for the answer to this one.
+  if (!this->IsIdleAndClean()) {
+    co_return self.Fail(core::MakeError(
+        core::ErrorKind::kClosed,
+        fmt::format("the idle connection to upstream {} was closed or holds bytes that no request "
+                    "asked for",
+                    self.address)));
+  }
+  self.output.clear();
+  BOOST_OUTCOME_CO_TRY(AppendRequest(request, self.address, self.output));
+  self.head_request = request.method == "HEAD";
+  self.response_read = false;
+  self.ResetParser();
+  self.any_byte_sent = true;
+  self.deadline.ExpireAfter(timeout);
+  const auto [error, count] = co_await self.stream.WriteAll(asio::buffer(self.output));
+  self.deadline.Clear();
+  self.output = std::string();
+  self.any_byte_sent = count > 0;
+  if (error) co_return self.StreamError("while the request was sent");
+  co_return core::Success();
+}
+
+bool UpstreamConnection::any_byte_sent() const { return this->state->any_byte_sent; }
+
+asio::awaitable<core::Result<ResponseHead>> UpstreamConnection::ReadHead(core::Duration timeout) {
+  auto& self = *this->state;
+  if (!self.parser || self.failed) co_return self.StreamError("no request was sent");
+  self.deadline.ExpireAfter(timeout);
+  unsigned interim = 0;
+  while (true) {
+    BOOST_OUTCOME_CO_TRY(const bool progress, self.Parse());
+    if (self.parser->is_header_done()) {
+      const auto status = self.parser->get().result_int();
+      if (status < 100 || (status < 200 && ++interim > kInterimLimit)) {
+        co_return self.Fail(Malformed(self.address, "its status is not valid here"));
+      }
+      if (status >= 200 || status == 101) break;
+      self.ResetParser();
+      continue;
+    }
+    if (progress) continue;
+    BOOST_OUTCOME_CO_TRY(co_await self.ReadMore());
+  }
+  self.deadline.Clear();
+  const auto fault = self.FramingFault();
+  if (!fault.empty()) co_return self.Fail(Malformed(self.address, fault));
+  co_return self.Head();
+}
+
+asio::awaitable<core::Result<std::optional<std::string>>> UpstreamConnection::ReadPiece(
+    core::Duration timeout) {
+  auto& self = *this->state;
+  if (!self.parser || self.failed) co_return self.StreamError("no response is being read");
+  self.deadline.ExpireAfter(timeout);
+  while (true) {
+    auto& body = self.parser->get().body();
+    if (!body.empty()) {
+      self.deadline.Clear();
+      co_return std::optional<std::string>(std::exchange(body, std::string()));
+    }
+    if (self.parser->is_done()) break;
+    BOOST_OUTCOME_CO_TRY(const bool progress, self.Parse());
+    if (progress) continue;
+    BOOST_OUTCOME_CO_TRY(co_await self.ReadMore());
+  }
+  self.deadline.Clear();
+  self.response_read = true;
+  co_return std::optional<std::string>();
+}
+
+bool UpstreamConnection::reusable() const {
+  const auto& self = *this->state;
+  if (self.failed || !self.response_read || !self.input.empty()) return false;
+  return self.stream.is_open() && (!self.parser || self.parser->keep_alive());
+}
+
+bool UpstreamConnection::IsIdleAndClean() {
+  return this->reusable() && this->state->stream.IsQuiet();
+}
+
+void UpstreamConnection::Close() {
+  this->state->failed = true;
+  this->state->stream.Close();
+}
+
+const std::string& UpstreamConnection::address() const { return this->state->address; }
+
+}  // namespace pomelospar::http
