--- a/libraries/http/deadline.cc
+++ b/libraries/http/deadline.cc
@@ -6,8 +6,8 @@
 namespace pomelospar::http {
 
 struct Deadline::State : std::enable_shared_from_this<Deadline::State> {
-  State(boost::asio::any_io_executor executor, std::function<void()> on_expiry_handler)
-      : timer(std::move(executor)), on_expiry(std::move(on_expiry_handler)) {}
+  State(const boost::asio::any_io_executor& executor, std::function<void()> on_expiry_handler)
+      : timer(executor), on_expiry(std::move(on_expiry_handler)) {}
 
   void Wait(core::TimePoint until) {
     this->wake_up = until;
@@ -38,8 +38,8 @@
   bool expired = false;
 };
 
-Deadline::Deadline(boost::asio::any_io_executor executor, std::function<void()> on_expiry)
-    : state(std::make_shared<State>(std::move(executor), std::move(on_expiry))) {}
+Deadline::Deadline(const boost::asio::any_io_executor& executor, std::function<void()> on_expiry)
+    : state(std::make_shared<State>(executor, std::move(on_expiry))) {}
 
 Deadline::~Deadline() = default;
 
--- a/libraries/http/deadline.h
+++ b/libraries/http/deadline.h
@@ -14,7 +14,7 @@
 class Deadline {
  public:
   /// `on_expiry` runs on the executor each time a limit is reached.
-  Deadline(boost::asio::any_io_executor executor, std::function<void()> on_expiry);
+  Deadline(const boost::asio::any_io_executor& executor, std::function<void()> on_expiry);
   ~Deadline();
   Deadline(const Deadline&) = delete;
   Deadline& operator=(const Deadline&) = delete;
--- a/libraries/http/message.cc
+++ b/libraries/http/message.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
-#include <boost/algorithm/string/trim.hpp>
 #include <charconv>
 
 namespace pomelospar::http {
@@ -16,16 +15,20 @@
     "TE",         "Trailer",    "Upgrade",          "Content-Length",
     "Expect"};
 
+std::string_view Trimmed(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const auto first = std::min(text.find_first_not_of(kBlanks), text.size());
+  text.remove_prefix(first);
+  return text.substr(0, text.find_last_not_of(kBlanks) + 1);
+}
+
 /// The tokens of a comma-separated header value, without surrounding blanks.
 std::vector<std::string_view> Tokens(std::string_view list) {
   std::vector<std::string_view> tokens;
   while (!list.empty()) {
     const auto comma = std::min(list.find(','), list.size());
-    auto token = list.substr(0, comma);
-    while (!token.empty() && (token.front() == ' ' || token.front() == '\t'))
-      token.remove_prefix(1);
-    while (!token.empty() && (token.back() == ' ' || token.back() == '\t')) token.remove_suffix(1);
-    if (!token.empty()) tokens.push_back(token);
+    const auto token = list.substr(0, comma);
+    if (!token.empty()) tokens.push_back(Trimmed(token));
     list.remove_prefix(std::min(comma + 1, list.size()));
   }
   return tokens;
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -399,6 +399,16 @@
   co_return co_await this->Flush();
 }
 
+asio::awaitable<core::Result<void>> ServerConnection::WriteRaw(std::string_view bytes) {
+  if (this->phase == Phase::kFailed) co_return Gone();
+  if (this->phase == Phase::kNotStarted) {
+    this->keep_alive = false;
+    this->phase = Phase::kFinished;
+  }
+  this->output.assign(bytes);
+  co_return co_await this->Flush();
+}
+
 void ServerConnection::Abort() {
   this->phase = Phase::kFailed;
   this->stream->Close();
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -54,6 +54,7 @@
   boost::asio::awaitable<core::Result<void>> StartStream(ResponseHead head);
   boost::asio::awaitable<core::Result<void>> Write(std::string_view piece);
   boost::asio::awaitable<core::Result<void>> FinishStream(std::vector<HttpHeader> trailers);
+  boost::asio::awaitable<core::Result<void>> WriteRaw(std::string_view bytes);
   void Abort();
   void SetDisconnectHandler(std::function<void()> handler);
 
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -32,6 +32,10 @@
   return this->connection.FinishStream(std::move(trailers));
 }
 
+asio::awaitable<core::Result<void>> ServerExchange::WriteRaw(std::string_view bytes) {
+  return this->connection.WriteRaw(bytes);
+}
+
 void ServerExchange::Abort() { this->connection.Abort(); }
 
 void ServerExchange::SetDisconnectHandler(std::function<void()> handler) {
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -40,6 +40,9 @@
   /// Ends the stream. Trailers are sent with a chunked body only. A stream with fewer bytes than
   /// its announced length is aborted instead.
   boost::asio::awaitable<core::Result<void>> FinishStream(std::vector<HttpHeader> trailers);
+  /// Sends bytes as they are, without framing, for emulators that have to break the protocol. As
+  /// the first output it takes the place of the response and the connection closes after it.
+  boost::asio::awaitable<core::Result<void>> WriteRaw(std::string_view bytes);
   /// Closes the connection, so that a response in progress is visibly incomplete.
   void Abort();
   /// Called at most once, from the executor, when the caller's connection closes while the request
