Http: Avoid co_await in a do-while condition

g++ 12 miscompiles it: the emulator ran in an endless loop in the frame of DrainAndClose after a response that closes its connection, seen with gdb. An ordinary loop is compiled correctly.

--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <exception>
+#include <tuple>
 #include <utility>
 
 #include "libraries/http/message_text.h"
@@ -95,7 +96,7 @@
 
 ServerConnection::ServerConnection(std::shared_ptr<ServerState> owner,
                                    std::unique_ptr<ByteStream> connected,
-                                   asio::any_io_executor io_executor, std::string remote)
+                                   const asio::any_io_executor& io_executor, std::string remote)
     : server(std::move(owner)),
       stream(std::move(connected)),
       executor(io_executor),
@@ -266,7 +267,7 @@
   co_await this->CallHandler(exchange);
   if (this->phase == Phase::kNotStarted && !this->disconnected()) {
     auto response = NoResponseProduced();
-    co_await this->Respond(std::move(response));
+    std::ignore = co_await this->Respond(std::move(response));
   }
   this->serving = false;
   --this->server->active_exchanges;
@@ -298,14 +299,19 @@
 asio::awaitable<void> ServerConnection::DrainAndClose() {
   co_await this->stream->ShutdownSend();
   this->deadline.ExpireAfter(kDrainTime);
-  do {
+  // g++ 12 miscompiles co_await in the condition of a do-while loop.
+  while (true) {
     this->input.clear();
-  } while (co_await this->WaitForMoreInput());
+    const bool more = co_await this->WaitForMoreInput();
+    if (!more) break;
+  }
   this->stream->Close();
 }
 
 core::Result<void> ServerConnection::AppendHead(const ResponseHead& head) {
-  if (this->phase != Phase::kNotStarted) return WrongOrder("the response was already started");
+  if (this->phase != Phase::kNotStarted) {
+    return WrongOrder("the response was already started");
+  }
   if (this->server->stopping) this->keep_alive = false;
   this->output.clear();
   return AppendResponseHead(head, this->keep_alive, this->output);
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -34,7 +34,7 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(std::shared_ptr<ServerState> server, std::unique_ptr<ByteStream> stream,
-                   boost::asio::any_io_executor executor, std::string remote_address);
+                   const boost::asio::any_io_executor& executor, std::string remote_address);
   ~ServerConnection();
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
--- a/tests/stand_ins/common/stand_in_host.cc
+++ b/tests/stand_ins/common/stand_in_host.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdio>
+#include <tuple>
 #include <utility>
 
 namespace pomelospar::stand_in {
@@ -103,7 +104,7 @@
   response.headers = std::move(headers);
   response.headers.push_back({"Content-Type", "application/json"});
   response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  co_await exchange.Respond(std::move(response));
+  std::ignore = co_await exchange.Respond(std::move(response));
 }
 
 nlohmann::json ParseObject(std::string_view text) {
--- a/tests/stand_ins/engine_stand_in/engine_runner.cc
+++ b/tests/stand_ins/engine_stand_in/engine_runner.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <cstdlib>
+#include <tuple>
 #include <utility>
 
 #include "libraries/core/identifiers.h"
@@ -135,7 +136,9 @@
   this->peak_waiting = std::max<std::uint64_t>(this->peak_waiting, this->waiters.size());
   this->Sample();
   exchange.SetDisconnectHandler([&waiter] { waiter.timer.cancel(); });
-  if (!exchange.disconnected()) co_await waiter.timer.async_wait(kTuple);
+  if (!exchange.disconnected()) {
+    co_await waiter.timer.async_wait(kTuple);
+  }
   exchange.SetDisconnectHandler(nullptr);
   if (!waiter.admitted) {
     this->waiters.erase(position);
@@ -194,7 +197,7 @@
     co_return false;
   }
   if (kind == "garbage_head") {
-    co_await exchange.WriteRaw("this is not an HTTP response\r\n\r\n");
+    std::ignore = co_await exchange.WriteRaw("this is not an HTTP response\r\n\r\n");
     co_return false;
   }
   if (kind == "crash" && (generation.fault.after == 0 || !generation.stream)) {
@@ -238,16 +241,20 @@
     if (present && next < generation.tokens) present = co_await Sleep(exchange, duration);
   }
   if (!present || breaks) {
-    if (present) co_await this->BreakOff(exchange, fault);
+    if (present) {
+      co_await this->BreakOff(exchange, fault);
+    }
     this->AfterResponse(false);
     co_return;
   }
   const auto usage = Usage(PromptTokens(generation.source), generation.tokens);
   const auto final_events = FinalEvents(format, usage);
-  co_await exchange.Write(final_events);
+  std::ignore = co_await exchange.Write(final_events);
   std::vector<http::HttpHeader> no_trailers;
   const auto finished = co_await exchange.FinishStream(std::move(no_trailers));
-  if (fault.kind == "left_over") co_await exchange.WriteRaw(kLeftOverResponse);
+  if (fault.kind == "left_over") {
+    std::ignore = co_await exchange.WriteRaw(kLeftOverResponse);
+  }
   this->AfterResponse(finished.has_value());
 }
 
@@ -267,7 +274,9 @@
     next = end;
   }
   if (fault.kind == "never_end" || fault.kind == "lose_answer") {
-    if (fault.kind == "never_end") co_await Sleep(exchange, kForever);
+    if (fault.kind == "never_end") {
+      co_await Sleep(exchange, kForever);
+    }
     exchange.Abort();
     this->AfterResponse(false);
     co_return;
@@ -285,7 +294,7 @@
     const auto raw = fmt::format(
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}", length,
         body);
-    co_await exchange.WriteRaw(raw);
+    std::ignore = co_await exchange.WriteRaw(raw);
     this->AfterResponse(false);
     co_return;
   }
@@ -293,7 +302,9 @@
   response.headers = this->Headers("application/json");
   response.body = std::move(body);
   const auto sent = co_await exchange.Respond(std::move(response));
-  if (fault.kind == "left_over") co_await exchange.WriteRaw(kLeftOverResponse);
+  if (fault.kind == "left_over") {
+    std::ignore = co_await exchange.WriteRaw(kLeftOverResponse);
+  }
   this->AfterResponse(sent.has_value());
 }
 
--- a/tests/stand_ins/platform_stand_in/platform_service.cc
+++ b/tests/stand_ins/platform_stand_in/platform_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include "tests/stand_ins/common/stand_in_host.h"
@@ -105,7 +106,7 @@
   response.status = reply.status;
   response.headers = {{"Content-Type", reply.content_type}};
   response.body = std::move(reply.body);
-  co_await exchange.Respond(std::move(response));
+  std::ignore = co_await exchange.Respond(std::move(response));
 }
 
 asio::awaitable<bool> PlatformService::PassFaults(http::ServerExchange& exchange, bool is_write) {
--- a/tests/stand_ins/service_stand_in/plain_service.cc
+++ b/tests/stand_ins/service_stand_in/plain_service.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
+#include <tuple>
 #include <utility>
 
 #include "libraries/core/identifiers.h"
@@ -91,7 +92,7 @@
     co_return;
   }
   if (fault.kind == "garbage_head") {
-    co_await exchange.WriteRaw("this is not an HTTP response\r\n\r\n");
+    std::ignore = co_await exchange.WriteRaw("this is not an HTTP response\r\n\r\n");
     co_return;
   }
   const nlohmann::json body = {{"key", key},
@@ -104,7 +105,7 @@
     const auto error = fault.kind == "truncate" ? 1 : fault.length_error;
     const auto raw = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
                                  static_cast<std::int64_t>(text.size()) + error, text);
-    co_await exchange.WriteRaw(raw);
+    std::ignore = co_await exchange.WriteRaw(raw);
     co_return;
   }
   std::vector<http::HttpHeader> headers = {
@@ -112,7 +113,8 @@
   if (this->leaving) headers.push_back({"Pomelospar-Leaving", "1"});
   co_await RespondJson(exchange, 200, body, std::move(headers));
   if (fault.kind == "left_over") {
-    co_await exchange.WriteRaw("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n\"left over\"");
+    std::ignore =
+        co_await exchange.WriteRaw("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n\"left over\"");
   }
 }
 
