Platform: Add the HTTP client of the platform

Each request is sent at most once. A write whose response is lost, invalid or about other rows has an unknown outcome; a 503 means that nothing was executed.

--- /dev/null
+++ b/libraries/platform/platform_messages.h
@@ -0,0 +1,23 @@
+#ifndef POMELOSPAR_LIBRARIES_PLATFORM_PLATFORM_MESSAGES_H_
+#define POMELOSPAR_LIBRARIES_PLATFORM_PLATFORM_MESSAGES_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/core/result.h"
+#include "libraries/platform/platform_client.h"
+
+namespace pomelospar::platform {
+
+/// The JSON bodies of docs/platform.md. Decoders fail with `kMalformed`.
+core::Result<std::string> EncodeTransactions(const std::vector<Transaction>& transactions);
+core::Result<std::vector<TransactionResult>> DecodeTransactionResults(
+    std::string_view text, const std::vector<Transaction>& transactions);
+core::Result<Row> DecodeRow(std::string_view text);
+core::Result<std::vector<Row>> DecodeRows(std::string_view text);
+core::Result<InstanceChanges> DecodeInstanceChanges(std::string_view text);
+
+}  // namespace pomelospar::platform
+
+#endif  // POMELOSPAR_LIBRARIES_PLATFORM_PLATFORM_MESSAGES_H_
--- a/tests/stand_ins/engine_stand_in/engine_runner.cc
+++ b/tests/stand_ins/engine_stand_in/engine_runner.cc
@@ -176,7 +176,10 @@
     }
   }
   const bool proceed = co_await this->BeforeResponse(exchange, generation);
-  if (!proceed) co_return;
+  if (!proceed) {
+    this->AfterResponse(false);
+    co_return;
+  }
   const bool present = co_await Sleep(exchange, this->options.first_token_time);
   if (!present) {
     this->AfterResponse(false);
