--- /dev/null
+++ b/tests/libraries/http/upstream_test.cc
@@ -0,0 +1,242 @@
+#include <gmock/gmock.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <tuple>
+
+#include "libraries/http/byte_stream.h"
+#include "libraries/http/http_client.h"
+#include "libraries/http/upstream_connection.h"
+#include "libraries/http/upstream_pool.h"
+#include "tests/libraries/http/http_fixture.h"
+
+namespace pomelospar::http {
+namespace {
+
+namespace asio = boost::asio;
+using core::ErrorKind;
+using std::chrono::milliseconds;
+using testing::ElementsAre;
+
+constexpr auto kTimeout = milliseconds(150);
+const std::string kOkAbc = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+
+HttpRequest Get() {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/x";
+  return request;
+}
+
+/// An address that nothing listens on.
+std::string ClosedAddress(asio::io_context& io) {
+  const asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  return FormatEndpoint(acceptor.local_endpoint());
+}
+
+/// Sends a request and reads the whole body, or the first error.
+asio::awaitable<core::Result<std::string>> ReadWhole(UpstreamConnection& connection) {
+  const auto request = Get();
+  BOOST_OUTCOME_CO_TRY(co_await connection.Send(request, kTimeout));
+  BOOST_OUTCOME_CO_TRY(const auto head, co_await connection.ReadHead(kTimeout));
+  std::string body;
+  while (true) {
+    BOOST_OUTCOME_CO_TRY(const auto piece, co_await connection.ReadPiece(kTimeout));
+    if (!piece) break;
+    body += *piece;
+  }
+  co_return body;
+}
+
+// Guards against a broken response that is taken for a whole one, and against a connection with
+// left-over bytes that serves another request.
+TEST(UpstreamConnectionTest, TellsWholeResponsesFromBrokenOnes) {
+  struct Case {
+    std::string name;
+    std::string bytes;
+    bool close_after;
+    /// Empty if the response is whole.
+    std::optional<ErrorKind> error;
+    bool reusable;
+  };
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Case> cases = {
+      {"whole", kOkAbc, false, {}, true},
+      {"interim", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + kOkAbc, false, {}, true},
+      {"chunks", chunked + "3\r\nabc\r\n0\r\n\r\n", false, {}, true},
+      {"close announced",
+       "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc",
+       true,
+       {},
+       false},
+      {"left over", kOkAbc + kOkAbc, false, {}, false},
+      {"left over after chunks", chunked + "3\r\nabc\r\n0\r\n\r\nHTTP", false, {}, false},
+      {"short", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", true, ErrorKind::kClosed, false},
+      {"no last chunk", chunked + "3\r\nabc\r\n", true, ErrorKind::kClosed, false},
+      {"no end of last chunk", chunked + "3\r\nabc\r\n0\r\n", true, ErrorKind::kClosed, false},
+      {"stuck body", chunked + "3\r\nabc\r\n", false, ErrorKind::kTimeout, false},
+      {"stuck head", "HTTP/1.1 200 OK\r\n", false, ErrorKind::kTimeout, false},
+      {"no length", "HTTP/1.1 200 OK\r\n\r\nabc", true, ErrorKind::kMalformed, false},
+      {"two lengths",
+       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false,
+       ErrorKind::kMalformed, false},
+      {"garbage", "this is not HTTP\r\n\r\n", false, ErrorKind::kMalformed, false},
+      {"endless head", "HTTP/1.1 200 OK\r\nX: " + std::string(100000, 'a'), false,
+       ErrorKind::kMalformed, false},
+      {"endless chunk header", chunked + "3;x=" + std::string(300000, 'a'), false,
+       ErrorKind::kTooLarge, false},
+      {"nothing", "", true, ErrorKind::kClosed, false},
+  };
+  asio::io_context io{1};
+  std::vector<ScriptedUpstream::Script> scripts;
+  for (const auto& item : cases) scripts.push_back({item.bytes, item.close_after, {}});
+  ScriptedUpstream upstream(io, scripts);
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    for (const auto& item : cases) {
+      auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
+      const auto connection = std::move(opened.value());
+      const auto body = co_await ReadWhole(*connection);
+      EXPECT_EQ(body.has_value(), !item.error.has_value()) << item.name;
+      if (body) {
+        EXPECT_EQ(body.value(), "abc") << item.name;
+      }
+      if (body.has_error() && item.error) {
+        EXPECT_TRUE(core::Is(body.error(), *item.error)) << item.name << body.error().message;
+      }
+      EXPECT_TRUE(connection->any_byte_sent()) << item.name;
+      EXPECT_EQ(connection->reusable(), item.reusable) << item.name;
+    }
+  });
+}
+
+// Guards against bytes that nobody asked for being taken for the answer to the next request.
+TEST(UpstreamPoolTest, DoesNotReuseDisturbedConnections) {
+  asio::io_context io{1};
+  ScriptedUpstream upstream(
+      io,
+      {{kOkAbc, false, {}}, {kOkAbc, false, kOkAbc}, {kOkAbc, true, {}}, {kOkAbc, false, kOkAbc}});
+  UpstreamPool pool(io, {});
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    // Request 2 reuses the connection of request 1; what came after 2 and the close after 3 do not
+    // reach the next request.
+    const std::vector<std::size_t> connections = {1, 1, 2};
+    for (const auto expected : connections) {
+      auto acquired = co_await pool.Acquire(upstream.address(), kTimeout);
+      auto connection = std::move(acquired.value());
+      const auto body = co_await ReadWhole(*connection);
+      EXPECT_TRUE(body.has_value());
+      EXPECT_EQ(upstream.connections, expected);
+      pool.Release(std::move(connection));
+      co_await Pause(milliseconds(60));
+    }
+    auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
+    const auto connection = std::move(opened.value());
+    std::ignore = co_await ReadWhole(*connection);
+    EXPECT_TRUE(connection->reusable());
+    co_await Pause(milliseconds(60));
+    const auto request = Get();
+    const auto sent = co_await connection->Send(request, kTimeout);
+    EXPECT_TRUE(sent.has_error() && core::Is(sent.error(), ErrorKind::kClosed));
+    EXPECT_FALSE(connection->any_byte_sent());
+  });
+  EXPECT_EQ(upstream.requests, 4U);
+}
+
+// Guards against a lost answer that is reported as "not sent", or the reverse: the caller would
+// repeat what has run, or not repeat what has not.
+TEST(HttpClientTest, TellsNotSentFromLost) {
+  asio::io_context io{1};
+  ScriptedUpstream upstream(
+      io, {{"", true, {}},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true, {}},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + std::string(99, 'a'), false, {}},
+           {kOkAbc, false, {}}});
+  const std::string refused = ClosedAddress(io);
+  HttpClient client(io, {});
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 3; ++i) {
+      auto request = Get();
+      const auto lost = co_await client.Fetch(upstream.address(), std::move(request), kTimeout, 50);
+      EXPECT_TRUE(lost.has_error() && core::Is(lost.error(), ErrorKind::kUnknownOutcome)) << i;
+    }
+    auto request = Get();
+    const auto whole = co_await client.Fetch(upstream.address(), std::move(request), kTimeout, 50);
+    EXPECT_TRUE(whole.has_value() && whole.value().body == "abc");
+    auto unsent = Get();
+    const auto not_sent = co_await client.Fetch(refused, std::move(unsent), kTimeout, 50);
+    EXPECT_TRUE(not_sent.has_error() && core::Is(not_sent.error(), ErrorKind::kUnavailable));
+  });
+  EXPECT_EQ(upstream.requests, 4U);
+}
+
+// Guards against more connections to a service than it was promised, and against waiting requests
+// that are sent after their time.
+TEST(HttpClientTest, BoundsItsConnections) {
+  asio::io_context io{1};
+  std::size_t running = 0;
+  std::size_t peak = 0;
+  const auto server = HttpServer::Create(io, {}, [&](ServerExchange& exchange) {
+    return
+        [](ServerExchange& serving, std::size_t& now, std::size_t& most) -> asio::awaitable<void> {
+          most = std::max(most, ++now);
+          co_await Pause(milliseconds(100));
+          --now;
+          HttpResponse response;
+          std::ignore = co_await serving.Respond(std::move(response));
+        }(exchange, running, peak);
+  });
+  HttpClientOptions options;
+  options.connections_per_address = 2;
+  HttpClient client(io, options);
+  std::size_t answered = 0;
+  std::size_t not_sent = 0;
+  const auto fetch = [&](milliseconds timeout) -> asio::awaitable<void> {
+    auto request = Get();
+    const auto response =
+        co_await client.Fetch(server.value()->address(), std::move(request), timeout, 50);
+    if (response) ++answered;
+    if (!response && core::Is(response.error(), ErrorKind::kUnavailable)) ++not_sent;
+  };
+  for (int i = 0; i < 4; ++i) asio::co_spawn(io, fetch(milliseconds(5000)), asio::detached);
+  asio::co_spawn(io, fetch(milliseconds(50)), asio::detached);
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    while (answered + not_sent < 5) co_await Pause(milliseconds(10));
+  });
+  EXPECT_EQ(answered, 4U);
+  EXPECT_EQ(not_sent, 1U);
+  EXPECT_EQ(peak, 2U);
+}
+
+// Guards against hop-by-hop headers that reach the next hop and change its framing.
+TEST(MessageTest, RelaysOnlyEndToEndHeaders) {
+  const std::vector<HttpHeader> headers = {{"Connection", "keep-alive, X-Private"},
+                                           {"x-private", "1"},
+                                           {"Content-Type", "text/plain"},
+                                           {"transfer-encoding", "chunked"},
+                                           {"Upgrade", "h2c"},
+                                           {"Proxy-Authorization", "x"},
+                                           {"Content-Length", "3"},
+                                           {"TE", "trailers"},
+                                           {"X-Kept", "1"}};
+  std::vector<std::string> names;
+  for (const auto& header : RelayableHeaders(headers)) names.push_back(header.name);
+  EXPECT_THAT(names, ElementsAre("Content-Type", "X-Kept"));
+}
+
+// Guards against header values from outside that split a message in two.
+TEST(MessageTest, RefusesHeadersThatBreakTheMessage) {
+  asio::io_context io{1};
+  ScriptedUpstream upstream(io, {{kOkAbc, false, {}}});
+  HttpClient client(io, {});
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    auto request = Get();
+    request.headers = {{"X-Name", "a\r\nHost: other"}};
+    const auto refused =
+        co_await client.Fetch(upstream.address(), std::move(request), kTimeout, 50);
+    EXPECT_TRUE(refused.has_error() && core::Is(refused.error(), ErrorKind::kInvalidArgument));
+  });
+  EXPECT_EQ(upstream.requests, 0U);
+}
+
+}  // namespace
+}  // namespace pomelospar::http
