--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -293,7 +293,8 @@
   if (refusal.status == 503) response.headers.push_back({"Retry-After", "1"});
   response.body = refusal.message + "\n";
   const auto sent = co_await this->Respond(std::move(response));
-  if (sent) co_await this->DrainAndClose();
+  if (!sent) co_return;
+  co_await this->DrainAndClose();
 }
 
 asio::awaitable<void> ServerConnection::DrainAndClose() {
--- a/libraries/platform/http_platform_client.cc
+++ b/libraries/platform/http_platform_client.cc
@@ -82,9 +82,9 @@
 using Decoder = std::function<core::Result<T>(HttpResponse)>;
 
 template <typename T>
-asio::awaitable<void> Run(std::shared_ptr<Client> client, HttpRequest request, Decoder<T> decode,
+asio::awaitable<void> Run(asio::awaitable<core::Result<HttpResponse>> call, Decoder<T> decode,
                           Callback<T> callback) {
-  auto response = co_await Call(client, std::move(request));
+  auto response = co_await std::move(call);
   if (response) {
     callback(decode(std::move(response.value())));
   } else {
@@ -97,7 +97,7 @@
 void Start(const std::shared_ptr<Client>& client, HttpRequest request, Decoder<T> decode,
            Callback<T> callback) {
   asio::co_spawn(client->io,
-                 Run<T>(client, std::move(request), std::move(decode), std::move(callback)),
+                 Run<T>(Call(client, std::move(request)), std::move(decode), std::move(callback)),
                  asio::detached);
 }
 
--- a/tests/libraries/http/tls_test.cc
+++ b/tests/libraries/http/tls_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/ssl.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdint>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -30,7 +31,7 @@
   const std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> key(EVP_EC_gen("P-256"),
                                                                 &EVP_PKEY_free);
   const std::unique_ptr<X509, decltype(&X509_free)> certificate(X509_new(), &X509_free);
-  constexpr long kSecondsValid = 3600;
+  constexpr std::int64_t kSecondsValid = 3600;
   ASN1_INTEGER_set(X509_get_serialNumber(certificate.get()), 1);
   X509_gmtime_adj(X509_getm_notBefore(certificate.get()), 0);
   X509_gmtime_adj(X509_getm_notAfter(certificate.get()), kSecondsValid);
--- a/tests/libraries/http/upstream_test.cc
+++ b/tests/libraries/http/upstream_test.cc
@@ -89,6 +89,7 @@
   };
   asio::io_context io{1};
   std::vector<ScriptedUpstream::Script> scripts;
+  scripts.reserve(cases.size());
   for (const auto& item : cases) scripts.push_back({item.bytes, item.close_after, {}});
   ScriptedUpstream upstream(io, scripts);
   RunBody(io, [&]() -> asio::awaitable<void> {
@@ -200,7 +201,9 @@
   for (int i = 0; i < 4; ++i) asio::co_spawn(io, fetch(milliseconds(5000)), asio::detached);
   asio::co_spawn(io, fetch(milliseconds(50)), asio::detached);
   RunBody(io, [&]() -> asio::awaitable<void> {
-    while (answered + not_sent < 5) co_await Pause(milliseconds(10));
+    while (answered + not_sent < 5) {
+      co_await Pause(milliseconds(10));
+    }
   });
   EXPECT_EQ(answered, 4U);
   EXPECT_EQ(not_sent, 1U);
--- a/tests/stand_ins/engine_stand_in/engine_runner.cc
+++ b/tests/stand_ins/engine_stand_in/engine_runner.cc
@@ -241,7 +241,8 @@
     for (; next < end; ++next) piece += AnswerToken(generation.source, generation.seed, next);
     const auto event = PieceEvent(format, piece);
     present = !(co_await exchange.Write(event)).has_error();
-    if (present && next < generation.tokens) present = co_await Sleep(exchange, duration);
+    if (!present || next >= generation.tokens) break;
+    present = co_await Sleep(exchange, duration);
   }
   if (!present || breaks) {
     if (present) {
