--- a/libraries/http/upstream_connection.h
+++ b/libraries/http/upstream_connection.h
@@ -16,6 +16,8 @@
 /// A connection to an upstream that carries one request at a time. Call in the order `Send`,
 /// `ReadHead`, `ReadPiece` until it returns nothing; then it may be reusable.
 ///
+/// It must not be destroyed while one of its functions is pending; call `Close` and let it end.
+///
 /// Errors of `Send`, `ReadHead` and `ReadPiece`: `kTimeout`, `kClosed` if the connection ended
 /// early, `kMalformed`, `kTooLarge`. After an error the connection is closed. Whether the request
 /// may have run is told by `any_byte_sent`, not by the error.
@@ -34,8 +36,8 @@
                                                   core::Duration timeout);
   /// True from the moment a byte of the current request may have left, also while it is being sent.
   bool any_byte_sent() const;
-  /// Interim (1xx) responses are skipped. A response whose body would end with the connection is
-  /// `kMalformed`, because its truncation could not be told from its end.
+  /// Interim (1xx) responses are skipped, trailers are dropped. A response whose body would end
+  /// with the connection is `kMalformed`, because its truncation could not be told from its end.
   boost::asio::awaitable<core::Result<ResponseHead>> ReadHead(core::Duration timeout);
   /// What has arrived of the body, at most 64 KiB, without chunk framing; nothing once the body is
   /// complete. The timeout is for one piece.
--- a/tests/libraries/http/server_test.cc
+++ b/tests/libraries/http/server_test.cc
@@ -234,6 +234,30 @@
   });
 }
 
+// Guards against callers that hold a response, and with it a runner's slot, by not reading.
+TEST_F(ServerTest, GivesUpOnCallersThatDoNotRead) {
+  auto options = QuickOptions();
+  options.limits.write_timeout = std::chrono::milliseconds(100);
+  bool gave_up = false;
+  this->Start(options, [&](ServerExchange& exchange) -> asio::awaitable<void> {
+    ResponseHead head;
+    head.chunked = true;
+    std::ignore = co_await exchange.StartStream(std::move(head));
+    const std::string piece(100000, 'p');
+    while (!gave_up) {
+      const auto written = co_await exchange.Write(piece);
+      gave_up = written.has_error() && core::Is(written.error(), core::ErrorKind::kClosed);
+    }
+  });
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    const auto connection = co_await RawConnection::Connect(this->server->address());
+    co_await connection->Send(std::string(kGet));
+    while (!gave_up) {
+      co_await Pause(std::chrono::milliseconds(10));
+    }
+  });
+}
+
 /// A valid request in which some bytes were replaced, removed or inserted.
 rc::Gen<std::string> MutatedRequest() {
   const std::string valid =
--- a/tests/stand_ins/engine_stand_in/engine_runner.cc
+++ b/tests/stand_ins/engine_stand_in/engine_runner.cc
@@ -75,8 +75,7 @@
     status = 404;
     body["error"] = "no such resource";
   }
-  auto headers = this->Headers("application/json");
-  headers.pop_back();
+  auto headers = this->RunnerHeaders();
   co_await RespondJson(exchange, status, body, std::move(headers));
 }
 
@@ -227,7 +226,8 @@
   const bool breaks =
       fault.kind == "crash" || fault.kind == "truncate" || fault.kind == "never_end";
   http::ResponseHead head;
-  head.headers = this->Headers("text/event-stream");
+  head.headers = this->RunnerHeaders();
+  head.headers.push_back({"Content-Type", "text/event-stream"});
   head.chunked = true;
   bool present = !(co_await exchange.StartStream(std::move(head))).has_error();
   std::uint64_t next = generation.first;
@@ -303,7 +303,8 @@
     co_return;
   }
   http::HttpResponse response;
-  response.headers = this->Headers("application/json");
+  response.headers = this->RunnerHeaders();
+  response.headers.push_back({"Content-Type", "application/json"});
   response.body = std::move(body);
   const auto sent = co_await exchange.Respond(std::move(response));
   if (fault.kind == "left_over") {
@@ -320,11 +321,10 @@
   }
 }
 
-std::vector<http::HttpHeader> EngineRunner::Headers(const char* content_type) const {
+std::vector<http::HttpHeader> EngineRunner::RunnerHeaders() const {
   std::vector<http::HttpHeader> headers = {
       {"Pomelospar-Runner-Incarnation", std::to_string(this->incarnation)}};
   if (this->leaving) headers.push_back({"Pomelospar-Leaving", "1"});
-  headers.push_back({"Content-Type", content_type});
   return headers;
 }
 
--- a/tests/stand_ins/engine_stand_in/engine_runner.h
+++ b/tests/stand_ins/engine_stand_in/engine_runner.h
@@ -85,7 +85,7 @@
   void AfterResponse(bool complete);
   Generation Parse(const http::HttpRequest& request, const nlohmann::json& body);
   std::chrono::nanoseconds TokenTime() const;
-  std::vector<http::HttpHeader> Headers(const char* content_type) const;
+  std::vector<http::HttpHeader> RunnerHeaders() const;
   void Crash();
   void Sample();
   nlohmann::json LoadReport();
