--- a/libraries/platform/http_platform_client.cc
+++ b/libraries/platform/http_platform_client.cc
@@ -78,27 +78,28 @@
   co_return response.error();
 }
 
-template <typename T>
-using Decoder = std::function<core::Result<T>(HttpResponse)>;
+asio::awaitable<void> Run(std::shared_ptr<Client> client, HttpRequest request,
+                          std::function<void(core::Result<HttpResponse>)> finish) {
+  auto response = co_await Call(client, std::move(request));
+  finish(std::move(response));
+}
 
 template <typename T>
-asio::awaitable<void> Run(asio::awaitable<core::Result<HttpResponse>> call, Decoder<T> decode,
-                          Callback<T> callback) {
-  auto response = co_await std::move(call);
-  if (response) {
-    callback(decode(std::move(response.value())));
-  } else {
-    callback(response.error());
-  }
-}
+using Decoder = std::function<core::Result<T>(HttpResponse)>;
 
 /// Sends the request, turns the response into a `T` and hands it over.
 template <typename T>
 void Start(const std::shared_ptr<Client>& client, HttpRequest request, Decoder<T> decode,
            Callback<T> callback) {
-  asio::co_spawn(client->io,
-                 Run<T>(Call(client, std::move(request)), std::move(decode), std::move(callback)),
-                 asio::detached);
+  auto finish = [decode = std::move(decode),
+                 callback = std::move(callback)](core::Result<HttpResponse> response) {
+    if (response) {
+      callback(decode(std::move(response.value())));
+    } else {
+      callback(response.error());
+    }
+  };
+  asio::co_spawn(client->io, Run(client, std::move(request), std::move(finish)), asio::detached);
 }
 
 void Commit(const std::shared_ptr<Client>& client, std::vector<Transaction> transactions,
