Http: Bound the request bodies of all connections together

The limit of one body times the number of connections is more than any instance has. Beyond the new limit a request is refused with 503 and was not run.

--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -107,7 +107,16 @@
   this->server->connections.insert(this);
 }
 
-ServerConnection::~ServerConnection() { this->server->connections.erase(this); }
+ServerConnection::~ServerConnection() {
+  this->HoldBody(0);
+  this->server->connections.erase(this);
+}
+
+bool ServerConnection::HoldBody(std::uint64_t bytes) {
+  this->server->body_bytes += bytes - this->held_body_bytes;
+  this->held_body_bytes = bytes;
+  return this->server->body_bytes <= this->server->limits.total_body_bytes;
+}
 
 void ServerConnection::OnDeadline() {
   if (this->writing) this->stream->Close();
@@ -226,6 +235,9 @@
     if (error && error != beast::http::error::need_more) {
       co_return Refusal{StatusOf(error), error.message()};
     }
+    if (!this->HoldBody(parser.get().body().size())) {
+      co_return Refusal{503, "too many request bodies are in progress; retry later"};
+    }
     if (parser.is_header_done() && !headers_checked) {
       headers_checked = true;
       const auto fault = HeaderFault(parser);
@@ -273,6 +285,7 @@
   --this->server->active_exchanges;
   this->disconnect_handler = nullptr;
   this->current_request = HttpRequest();
+  this->HoldBody(0);
 }
 
 asio::awaitable<void> ServerConnection::CallHandler(ServerExchange& exchange) {
@@ -284,6 +297,7 @@
 }
 
 asio::awaitable<void> ServerConnection::SendRefusal(Refusal refusal) {
+  this->HoldBody(0);
   this->phase = Phase::kNotStarted;
   this->keep_alive = false;
   this->body_expected = true;
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -26,6 +26,7 @@
   Handler handler;
   bool stopping = false;
   std::size_t active_exchanges = 0;
+  std::uint64_t body_bytes = 0;
   std::unordered_set<ServerConnection*> connections;
 };
 
@@ -81,6 +82,8 @@
   boost::asio::awaitable<core::Result<void>> Flush();
   core::Result<void> AppendHead(const ResponseHead& head);
   core::Result<void> CountBody(std::size_t bytes);
+  /// Sets the share of this connection in the bodies that the server holds; false beyond the limit.
+  bool HoldBody(std::uint64_t bytes);
   void NotifyDisconnect();
   void OnDeadline();
 
@@ -100,6 +103,7 @@
   bool waiting_for_request = false;
 
   HttpRequest current_request;
+  std::uint64_t held_body_bytes = 0;
   bool serving = false;
   bool writing = false;
   bool keep_alive = false;
--- a/libraries/http/server_options.h
+++ b/libraries/http/server_options.h
@@ -25,6 +25,9 @@
   /// How long the caller may take to accept one piece of a response.
   core::Duration write_timeout = std::chrono::seconds(60);
   std::size_t maximum_connections = 20000;
+  /// Request bodies of all connections together, from their first byte to the end of the response.
+  /// Many callers with bodies below `body_bytes` would otherwise exhaust a small instance.
+  std::uint64_t total_body_bytes = 256ULL << 20U;
 };
 
 struct ServerOptions {
--- a/tests/libraries/http/server_test.cc
+++ b/tests/libraries/http/server_test.cc
@@ -62,6 +62,7 @@
   const std::vector<std::pair<std::string, int>> cases = {
       {"GET /x HTTP/1.1\r\nHost: h\r\n" + big_header + "\r\n", 431},
       {post + "Content-Length: 3000\r\n\r\n", 413},
+      {post + "Content-Length: 4000000\r\n\r\n" + std::string(4000000, 'b'), 413},
       {post + "Transfer-Encoding: chunked\r\n\r\nbb8\r\n" + std::string(3000, 'b') +
            "\r\n0\r\n\r\n",
        413},
@@ -165,7 +166,9 @@
     const std::vector<std::string> followed_by = {"", std::string(kGet)};
     for (const auto& more : followed_by) {
       auto connection = co_await RawConnection::Connect(this->server->address());
-      co_await connection->Send(std::string(kGet) + more);
+      co_await connection->Send(std::string(kGet));
+      co_await Pause(std::chrono::milliseconds(30));
+      co_await connection->Send(more);
       co_await Pause(std::chrono::milliseconds(30));
       EXPECT_EQ(this->server->active_exchanges(), 1U);
       connection.reset();
@@ -234,6 +237,32 @@
   });
 }
 
+// Guards against many bodies below the limit that exhaust the memory together, and against a count
+// that is not given back.
+TEST_F(ServerTest, BoundsTheBodiesOfAllConnections) {
+  auto options = QuickOptions();
+  options.limits.total_body_bytes = 3000;
+  this->Start(options, [](ServerExchange& exchange) -> asio::awaitable<void> {
+    co_await Pause(std::chrono::milliseconds(60));
+    HttpResponse response;
+    std::ignore = co_await exchange.Respond(std::move(response));
+  });
+  const auto request =
+      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'b');
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    for (int round = 0; round < 2; ++round) {
+      const auto holder = co_await RawConnection::Connect(this->server->address());
+      co_await holder->Send(request);
+      co_await Pause(std::chrono::milliseconds(20));
+      const auto refused = co_await RawExchange(this->server->address(), request);
+      EXPECT_THAT(refused, StartsWith("HTTP/1.1 503 "));
+      EXPECT_THAT(refused, HasSubstr("Pomelospar-Outcome: not_run\r\n"));
+      const auto served = co_await holder->ReadUntil("\r\n\r\n");
+      EXPECT_THAT(served, StartsWith("HTTP/1.1 200 "));
+    }
+  });
+}
+
 // Guards against callers that hold a response, and with it a runner's slot, by not reading.
 TEST_F(ServerTest, GivesUpOnCallersThatDoNotRead) {
   auto options = QuickOptions();
