--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -36,6 +36,10 @@
   return this->connection.WriteRaw(bytes);
 }
 
+asio::awaitable<core::Result<void>> ServerExchange::FinishStream() {
+  return this->connection.FinishStream(std::vector<HttpHeader>());
+}
+
 void ServerExchange::Abort() { this->connection.Abort(); }
 
 void ServerExchange::SetDisconnectHandler(std::function<void()> handler) {
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -17,6 +17,9 @@
 /// without a response gets a 500 sent in its place, one that returns in the middle of a stream
 /// has it aborted.
 ///
+/// With g++ 12, arguments of these functions should be named variables: it rejects or miscompiles
+/// some braced lists within a `co_await` expression.
+///
 /// Errors of the sending functions: `kClosed` if the caller is gone or too slow to take the data,
 /// `kInvalidArgument` for a call in the wrong order or a header that HTTP does not allow.
 class ServerExchange {
@@ -40,6 +43,7 @@
   /// Ends the stream. Trailers are sent with a chunked body only. A stream with fewer bytes than
   /// its announced length is aborted instead.
   boost::asio::awaitable<core::Result<void>> FinishStream(std::vector<HttpHeader> trailers);
+  boost::asio::awaitable<core::Result<void>> FinishStream();
   /// Sends bytes as they are, without framing, for emulators that have to break the protocol. As
   /// the first output it takes the place of the response and the connection closes after it.
   boost::asio::awaitable<core::Result<void>> WriteRaw(std::string_view bytes);
--- a/tests/stand_ins/engine_stand_in/engine_runner.cc
+++ b/tests/stand_ins/engine_stand_in/engine_runner.cc
@@ -254,8 +254,7 @@
   const auto usage = Usage(PromptTokens(generation.source), generation.tokens);
   const auto final_events = FinalEvents(format, usage);
   std::ignore = co_await exchange.Write(final_events);
-  std::vector<http::HttpHeader> no_trailers;
-  const auto finished = co_await exchange.FinishStream(std::move(no_trailers));
+  const auto finished = co_await exchange.FinishStream();
   if (fault.kind == "left_over") {
     std::ignore = co_await exchange.WriteRaw(kLeftOverResponse);
   }
