--- /dev/null
+++ b/libraries/configuration/normalise.h
@@ -0,0 +1,14 @@
+#ifndef POMELOSPAR_LIBRARIES_CONFIGURATION_NORMALISE_H_
+#define POMELOSPAR_LIBRARIES_CONFIGURATION_NORMALISE_H_
+
+#include "libraries/configuration/configuration.h"
+
+namespace pomelospar::configuration {
+
+/// Sets the identifiers from the names and sorts items by name and runners by address, so that
+/// equal configurations compare and serialise equally whatever the order of the document was.
+void Normalise(Configuration& configuration);
+
+}  // namespace pomelospar::configuration
+
+#endif  // POMELOSPAR_LIBRARIES_CONFIGURATION_NORMALISE_H_
