Pomelosparctl: Add the operator tool and the admin API page

The tool validates and compares files offline and speaks the admin API of docs/admin_api.md. After a lost answer or a 504 it looks for the apply identifier in the history before it reports an unknown outcome.

The HTTP client runs asynchronous operations one at a time, because Beast applies time limits to asynchronous operations only.

--- a/libraries/configuration/configuration_apply.cc
+++ b/libraries/configuration/configuration_apply.cc
@@ -401,7 +401,7 @@
 }
 
 void ConfigurationApplier::Rollback(std::uint64_t generation, ApplyRequest request,
-                                    ApplyCallback done) {
+                                    const ApplyCallback& done) {
   const auto refuse = [done](const core::Error& error) {
     const auto outcome =
         core::Is(error, ErrorKind::kNotFound) ? ApplyOutcome::kInvalid : ApplyOutcome::kRefused;
--- a/libraries/configuration/configuration_apply.h
+++ b/libraries/configuration/configuration_apply.h
@@ -79,7 +79,7 @@
   /// 10 s.
   void Apply(ApplyRequest request, ApplyCallback done);
   /// Applies the sections of an earlier generation as a new generation.
-  void Rollback(std::uint64_t generation, ApplyRequest request, ApplyCallback done);
+  void Rollback(std::uint64_t generation, ApplyRequest request, const ApplyCallback& done);
   /// The newest `limit` changes, newest first. `kUnavailable` or `kTimeout` if the platform is
   /// down.
   void History(std::uint32_t limit, HistoryCallback done);
--- a/libraries/configuration/configuration_sync.cc
+++ b/libraries/configuration/configuration_sync.cc
@@ -205,7 +205,7 @@
   finish();
 }
 
-void ConfigurationSync::AdoptCommitted(HeldPointer held) {
+void ConfigurationSync::AdoptCommitted(const HeldPointer& held) {
   this->platform_generation = std::max(this->platform_generation, held->generation);
   if (this->store.Adopt(held)) {
     this->callbacks.adopted(held, true);
--- a/libraries/configuration/configuration_sync.h
+++ b/libraries/configuration/configuration_sync.h
@@ -58,7 +58,7 @@
   void OnChanges(const std::string& peer, const wire::ConfigurationChanges& part);
 
   /// Adopts a generation that this router committed.
-  void AdoptCommitted(HeldPointer held);
+  void AdoptCommitted(const HeldPointer& held);
   /// Brings the store to a generation of the platform, then calls back; on errors the store is as
   /// it was or newer.
   void CatchUp(const HeadRecord& head, std::function<void(core::Result<void>)> done);
--- a/tests/libraries/configuration/configuration_store_test.cc
+++ b/tests/libraries/configuration/configuration_store_test.cc
@@ -89,6 +89,11 @@
     for (const auto& [second, index] : choices) {
       auto& store = stores[second ? 1 : 0];
       const auto before = store.generation();
+      if (index % 5 == 0) {
+        const auto& prepared = history[index % history.size()];
+        RC_ASSERT(store.Adopt(prepared) == (prepared->generation > before));
+        continue;
+      }
       const auto whole = assemblers[second ? 1 : 0].Add("peer", messages[index]);
       if (whole) {
         const auto adopted = store.Adopt(*whole);
@@ -104,6 +109,15 @@
         RC_ASSERT(ToSections(*store.configuration()) == LiveSections(expected));
       }
     }
+    const bool first_is_newer = stores[0].generation() > stores[1].generation();
+    const auto& newer = stores[first_is_newer ? 0 : 1];
+    auto& older = stores[first_is_newer ? 1 : 0];
+    if (newer.generation() > older.generation()) {
+      for (const auto& part : ChangesSince(*newer.held(), older.generation(), 1 << 30U)) {
+        RC_ASSERT(older.Adopt(part).value());
+      }
+      RC_ASSERT(LiveSections(*older.held()) == LiveSections(*newer.held()));
+    }
   }));
 }
 
@@ -123,7 +137,8 @@
   }
   const auto& newest = *history.back();
   EXPECT_LT(newest.sections.size(), 1100U);
-  for (const std::size_t base : {2U, 500U, 1500U, 2290U}) {
+  // At these generations a section exists that the next one removes.
+  for (const std::size_t base : {3U, 501U, 1501U, 2291U}) {
     ConfigurationStore store;
     ASSERT_TRUE(store.Adopt(history[base]));
     ASSERT_TRUE(store.Adopt(ChangesSince(newest, base + 1, 1 << 30U).at(0)).value());
--- a/tests/libraries/configuration/configuration_sync_test.cc
+++ b/tests/libraries/configuration/configuration_sync_test.cc
@@ -90,10 +90,12 @@
     fleet.Run(kSecond * 3);
     EXPECT_EQ(fleet.results.at("second").outcome, lost.outcome);
     EXPECT_EQ(fleet.routers.at("a").store.generation(), lost.generation);
-    // A repeat with the same identifier applies nothing twice.
-    fleet.Apply("a", "second", Sample({2.0}));
+    // A repeat with the same identifier applies nothing twice and tells what became of the first.
+    fleet.Apply("a", "second", Sample({2.0}), 1);
     fleet.Run(kSecond);
     EXPECT_EQ(fleet.routers.at("a").store.generation(), lost.generation);
+    EXPECT_EQ(fleet.results.at("second").outcome,
+              lost.generation == 2 ? ApplyOutcome::kApplied : ApplyOutcome::kRefused);
   }
 }
 
@@ -195,9 +197,9 @@
   ApplyRequest request;
   request.apply_identifier = "third";
   request.operator_name = "operator";
-  router.applier->Rollback(1, request, [&](ApplyResult answer) { result = answer; });
+  router.applier->Rollback(1, request, [&](const ApplyResult& answer) { result = answer; });
   std::optional<ApplyResult> missing;
-  router.applier->Rollback(9, request, [&](ApplyResult answer) { missing = answer; });
+  router.applier->Rollback(9, request, [&](const ApplyResult& answer) { missing = answer; });
   fleet.Run(kSecond);
   EXPECT_EQ(result->outcome, ApplyOutcome::kApplied);
   EXPECT_EQ(missing->outcome, ApplyOutcome::kInvalid);
--- a/tests/libraries/configuration/fleet_fixture.cc
+++ b/tests/libraries/configuration/fleet_fixture.cc
@@ -186,8 +186,9 @@
   request.expected_generation = expected;
   request.apply_identifier = identifier;
   request.operator_name = "operator of " + address;
-  this->routers.at(address).applier->Apply(
-      request, [this, identifier](ApplyResult result) { this->results[identifier] = result; });
+  this->routers.at(address).applier->Apply(request, [this, identifier](const ApplyResult& result) {
+    this->results[identifier] = result;
+  });
 }
 
 void Fleet::Deliver(const Packet& packet) {
--- /dev/null
+++ b/utilities/pomelosparctl/commands.cc
@@ -0,0 +1,270 @@
+#include "utilities/pomelosparctl/commands.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "libraries/configuration/daemon_settings.h"
+#include "utilities/pomelosparctl/output.h"
+
+namespace pomelospar::pomelosparctl {
+namespace {
+
+using core::ErrorKind;
+using core::MakeError;
+using nlohmann::json;
+
+std::string Trim(const std::string& text) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const auto first = text.find_first_not_of(kSpace);
+  if (first == std::string::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
+}
+
+/// Encodes what may not stand in a path, so that an argument cannot name another resource.
+std::string EncodePath(std::string_view text) {
+  std::string encoded;
+  for (const char c : text) {
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                       c == '-' || c == '_' || c == '.' || c == '~';
+    encoded += plain ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
+  }
+  return encoded;
+}
+
+void PrintMessage(const json& answer) {
+  fmt::print("{}\n", Cell(answer.value("message", json("done"))));
+}
+
+void PrintStatus(const json& answer) { fmt::print("{}", FormatFields(answer)); }
+
+void PrintWorkspaces(const json& answer) {
+  fmt::print("{}", FormatTable({{"WORKSPACE", "name"},
+                                {"SHARE", "share"},
+                                {"SERVICE", "service"},
+                                {"NORMALISED", "normalised_service"},
+                                {"QUEUED", "queued"},
+                                {"RUNNING", "running"},
+                                {"GAP", "gap"}},
+                               answer.value("workspaces", json::array())));
+}
+
+void PrintUpstreams(const json& answer) {
+  json rows = json::array();
+  for (const auto& upstream : answer.value("upstreams", json::array())) {
+    for (auto runner : upstream.value("runners", json::array())) {
+      runner["upstream"] = upstream.value("name", json());
+      runner["model"] = upstream.value("model", json());
+      rows.push_back(std::move(runner));
+    }
+  }
+  fmt::print("{}", FormatTable({{"UPSTREAM", "upstream"},
+                                {"MODEL", "model"},
+                                {"RUNNER", "address"},
+                                {"DOMAIN", "domain"},
+                                {"SLOTS", "slots"},
+                                {"RUNNING", "running"},
+                                {"STATE", "state"}},
+                               rows));
+}
+
+void PrintMembers(const json& answer) {
+  fmt::print("{}", FormatTable({{"ROUTER", "address"},
+                                {"INCARNATION", "incarnation"},
+                                {"DOMAIN", "domain"},
+                                {"STATUS", "status"},
+                                {"GENERATION", "generation"}},
+                               answer.value("members", json::array())));
+}
+
+void PrintQuarantine(const json& answer) {
+  fmt::print("{}",
+             FormatTable({{"FINGERPRINT", "fingerprint"}, {"REMAINING (s)", "remaining_seconds"}},
+                         answer.value("quarantine", json::array())));
+}
+
+void PrintRequest(const json& answer) {
+  auto fields = answer;
+  fields.erase("events");
+  fmt::print("{}\n{}", FormatFields(fields),
+             FormatTable({{"AT (ms)", "at_milliseconds"}, {"EVENT", "event"}, {"DETAIL", "detail"}},
+                         answer.value("events", json::array())));
+}
+
+int Status(const Options& options) {
+  return Call(options, "GET", "/v1/status", nullptr, PrintStatus);
+}
+
+int Workspaces(const Options& options) {
+  return Call(options, "GET", "/v1/workspaces", nullptr, PrintWorkspaces);
+}
+
+int Upstreams(const Options& options) {
+  return Call(options, "GET", "/v1/upstreams", nullptr, PrintUpstreams);
+}
+
+int Members(const Options& options) {
+  return Call(options, "GET", "/v1/members", nullptr, PrintMembers);
+}
+
+int Drain(const Options& options) {
+  return Call(options, "POST", "/v1/runners/drain", {{"address", options.arguments[0]}},
+              PrintMessage);
+}
+
+int Undrain(const Options& options) {
+  return Call(options, "POST", "/v1/runners/undrain", {{"address", options.arguments[0]}},
+              PrintMessage);
+}
+
+int Quarantine(const Options& options) {
+  const auto& action = options.arguments[0];
+  if (action == "list" && options.arguments.size() == 1) {
+    return Call(options, "GET", "/v1/quarantine", nullptr, PrintQuarantine);
+  }
+  if (action == "clear" && options.arguments.size() == 2) {
+    return Call(options, "DELETE", "/v1/quarantine/" + EncodePath(options.arguments[1]), nullptr,
+                PrintMessage);
+  }
+  return Fail(kUsageError, "write `quarantine list` or `quarantine clear FINGERPRINT`");
+}
+
+int Explain(const Options& options) {
+  return Call(options, "GET", "/v1/requests/" + EncodePath(options.arguments[0]), nullptr,
+              PrintRequest);
+}
+
+int Faults(const Options& options) {
+  const auto body = json::parse(options.arguments[0], nullptr, false);
+  if (!body.is_object()) {
+    return Fail(kUsageError,
+                R"(the faults are no JSON object; write for example '{"block_platform":true}')");
+  }
+  return Call(options, "POST", "/v1/faults", body, PrintMessage);
+}
+
+}  // namespace
+
+int Fail(int exit_code, std::string_view message) {
+  fmt::print(stderr, "pomelosparctl: {}\n", message);
+  return exit_code;
+}
+
+core::Result<std::string> ReadFile(const std::string& name) {
+  std::ifstream file(name, std::ios::binary);
+  std::string content{std::istreambuf_iterator<char>(file), {}};
+  if (!file) {
+    return MakeError(ErrorKind::kNotFound,
+                     fmt::format("cannot read {}; check its path and permissions", name));
+  }
+  return content;
+}
+
+core::Result<AdminClient> MakeClient(const Options& options) {
+  AdminClient client;
+  client.servers = options.servers;
+  client.timeout = std::chrono::seconds(options.timeout_seconds);
+  auto token_file = options.token_file;
+  if (!options.settings_file.empty()) {
+    BOOST_OUTCOME_TRY(const auto text, ReadFile(options.settings_file));
+    const auto parsed = configuration::ParseDaemonSettings(text, options.settings_file);
+    const auto* settings = std::get_if<configuration::DaemonSettings>(&parsed);
+    if (settings == nullptr) {
+      return MakeError(ErrorKind::kInvalidArgument,
+                       fmt::format("{} is invalid; see `pomelosparctl validate --settings={}`",
+                                   options.settings_file, options.settings_file));
+    }
+    if (client.servers.empty()) {
+      client.servers.push_back(settings->admin_address);
+    }
+    if (token_file.empty()) {
+      token_file = settings->admin_token_file;
+    }
+  }
+  if (client.servers.empty() || token_file.empty()) {
+    return MakeError(ErrorKind::kInvalidArgument,
+                     "name a router and its token: --server=IP:PORT --token-file=FILE, or "
+                     "--settings=DAEMON.toml");
+  }
+  BOOST_OUTCOME_TRY(const auto token, ReadFile(token_file));
+  client.token = Trim(token);
+  return client;
+}
+
+int ReportFailure(const Options& options, const AdminAnswer& answer) {
+  if (options.json) {
+    fmt::print("{}\n", Dump(answer.body));
+  }
+  const auto message = answer.body.value("message", json("no reason given"));
+  Fail(0, fmt::format("{} (HTTP {})", Cell(message), answer.status));
+  for (const auto& change : answer.body.value("changes", json::array())) {
+    fmt::print(stderr, "  {}\n", Cell(change));
+  }
+  for (const auto& item : answer.body.value("diagnostics", json::array())) {
+    fmt::print(stderr, "{}:{}: {}: {}; {}\n", Cell(item.value("file", json())),
+               Cell(item.value("line", json())), Cell(item.value("key", json())),
+               Cell(item.value("message", json())), Cell(item.value("remedy", json())));
+  }
+  switch (answer.status) {
+    case 409:
+      return kConflict;
+    case 422:
+      return kInvalid;
+    case 504:
+      return kOutcomeUnknown;
+    default:
+      return kNotDone;
+  }
+}
+
+int Call(const Options& options, const std::string& method, const std::string& target,
+         const json& body, void (*print)(const json& answer)) {
+  const auto client = MakeClient(options);
+  if (!client) {
+    return Fail(kUsageError, client.error().message);
+  }
+  const auto answer = Request(client.value(), method, target, body);
+  if (!answer) {
+    return Fail(kNotDone, answer.error().message);
+  }
+  if (answer.value().status != 200) {
+    return ReportFailure(options, answer.value());
+  }
+  if (options.json) {
+    fmt::print("{}\n", Dump(answer.value().body));
+  } else {
+    print(answer.value().body);
+  }
+  return kDone;
+}
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> commands = {
+      {"validate", "[FILE]", "check a fleet file, or daemon settings given by --settings", 0, 1,
+       Validate},
+      {"diff", "FILE [NEW]", "changes from the fleet's configuration to FILE, or from FILE to NEW",
+       1, 2, DiffFiles},
+      {"apply", "FILE", "make FILE the fleet's configuration", 1, 1, ApplyFile},
+      {"history", "", "the last generations, newest first", 0, 0, ShowHistory},
+      {"rollback", "GENERATION", "apply an earlier generation as a new one", 1, 1, RollBack},
+      {"status", "", "state of the router that answers", 0, 0, Status},
+      {"workspaces", "", "service, share, backlog and gap of each workspace", 0, 0, Workspaces},
+      {"upstreams", "", "runners with their state", 0, 0, Upstreams},
+      {"members", "", "routers of the fleet", 0, 0, Members},
+      {"drain", "ADDRESS", "give a runner no new work", 1, 1, Drain},
+      {"undrain", "ADDRESS", "give a drained runner work again", 1, 1, Undrain},
+      {"quarantine", "list | clear FINGERPRINT", "requests that crashed runners", 1, 2, Quarantine},
+      {"explain", "REQUEST", "what happened to a request", 1, 1, Explain},
+      {"hash-key", "", "SHA-256 of the API key on standard input", 0, 0, HashKey},
+      {"faults", "JSON", "inject faults into a test router", 1, 1, Faults},
+  };
+  return commands;
+}
+
+}  // namespace pomelospar::pomelosparctl
--- /dev/null
+++ b/utilities/pomelosparctl/output.h
@@ -0,0 +1,35 @@
+#ifndef POMELOSPAR_UTILITIES_POMELOSPARCTL_OUTPUT_H_
+#define POMELOSPAR_UTILITIES_POMELOSPARCTL_OUTPUT_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/configuration/diagnostic.h"
+
+namespace pomelospar::pomelosparctl {
+
+/// A heading and the JSON key of its values.
+struct Column {
+  std::string_view heading;
+  std::string_view key;
+};
+
+/// The text of a value; "-" for null.
+std::string Cell(const nlohmann::json& value);
+
+/// One line for each object of `rows`, columns padded to the same width.
+std::string FormatTable(const std::vector<Column>& columns, const nlohmann::json& rows);
+
+/// One "key  value" line for each member; nested keys are joined with dots.
+std::string FormatFields(const nlohmann::json& object);
+
+nlohmann::json ToJson(const std::vector<configuration::Diagnostic>& diagnostics);
+
+/// JSON text in which invalid UTF-8 is replaced.
+std::string Dump(const nlohmann::json& value);
+
+}  // namespace pomelospar::pomelosparctl
+
+#endif  // POMELOSPAR_UTILITIES_POMELOSPARCTL_OUTPUT_H_
