--- a/tests/libraries/configuration/configuration_sync_test.cc
+++ b/tests/libraries/configuration/configuration_sync_test.cc
@@ -34,12 +34,17 @@
       fleet.platform.Step(position);
     }
     fleet.Run(kSecond * 3);
+    // Reads the snapshot, which both operators wrote for the same generation.
+    fleet.Start("c");
+    fleet.Run(kSecond * 3);
     const auto& left = fleet.results.at("left");
     const auto& right = fleet.results.at("right");
     const auto head = fleet.routers.at("a").store.generation();
     RC_ASSERT(fleet.routers.at("b").store.generation() == head);
-    RC_ASSERT(LiveSections(*fleet.routers.at("a").store.held()) ==
-              LiveSections(*fleet.routers.at("b").store.held()));
+    for (const std::string other : {"b", "c"}) {
+      RC_ASSERT(LiveSections(*fleet.routers.at("a").store.held()) ==
+                LiveSections(*fleet.routers.at(other).store.held()));
+    }
     if (left.outcome == ApplyOutcome::kApplied && right.outcome == ApplyOutcome::kApplied) {
       // Without an expected generation one may follow the other.
       RC_ASSERT(!expected);
@@ -207,7 +212,7 @@
     ASSERT_TRUE(fleet.platform.Step());
   }
   fleet.routers.at("b").sync->OnPeerGeneration("a", 2);
-  fleet.Run(milliseconds(50));
+  fleet.DeliverMessages();
   EXPECT_EQ(fleet.routers.at("b").store.generation(), 2U);
 }
 
--- a/tests/libraries/configuration/fleet_fixture.cc
+++ b/tests/libraries/configuration/fleet_fixture.cc
@@ -215,11 +215,15 @@
     }
     while (this->platform.Step()) {
     }
-    while (!this->packets.empty()) {
-      const auto packet = std::move(this->packets.front());
-      this->packets.pop_front();
-      this->Deliver(packet);
-    }
+    this->DeliverMessages();
+  }
+}
+
+void Fleet::DeliverMessages() {
+  while (!this->packets.empty()) {
+    const auto packet = std::move(this->packets.front());
+    this->packets.pop_front();
+    this->Deliver(packet);
   }
 }
 
--- a/tests/libraries/configuration/fleet_fixture.h
+++ b/tests/libraries/configuration/fleet_fixture.h
@@ -69,6 +69,7 @@
              const Configuration& configuration, std::optional<std::uint64_t> expected = {});
   /// Runs calls, messages and ticks for this long.
   void Run(std::chrono::milliseconds time);
+  void DeliverMessages();
 
   core::ManualClock clock;
   FakePlatform platform;
--- a/tests/utilities/pomelosparctl_test.cc
+++ b/tests/utilities/pomelosparctl_test.cc
@@ -45,7 +45,7 @@
 }
 
 std::string WriteFile(const std::string& name, const std::string& content) {
-  const auto path = testing::TempDir() + "pomelosparctl_test_" + name;
+  auto path = testing::TempDir() + "pomelosparctl_test_" + name;
   std::ofstream(path) << content;
   return path;
 }
