--- a/tests/libraries/configuration/configuration_store_test.cc
+++ b/tests/libraries/configuration/configuration_store_test.cc
@@ -121,6 +121,18 @@
   }));
 }
 
+// Guards against a router that read a snapshot, which holds no removals, and sends only the
+// sections that it has to a router that still holds a removed one.
+TEST(ConfigurationStoreTest, RemovalReachesOlderRoutersFromARouterThatReadASnapshot) {
+  const auto history = History({{1.0, 1.0}, {1.0}});
+  ConfigurationStore restarted;
+  ASSERT_TRUE(restarted.Adopt(DecodeSnapshot(EncodeSnapshot(*history[1])).value()).value());
+  ConfigurationStore older;
+  ASSERT_TRUE(older.Adopt(history[0]));
+  ASSERT_TRUE(older.Adopt(ChangesSince(*restarted.held(), 1, 1 << 30U).at(0)).value());
+  EXPECT_EQ(LiveSections(*older.held()), LiveSections(*history[1]));
+}
+
 // Guards against removals that are forgotten although a router that holds an older generation asks:
 // it would keep a workspace that no longer exists.
 TEST(ConfigurationStoreTest, OlderRoutersGetEverythingOnceRemovalsAreForgotten) {
--- a/tests/libraries/configuration/configuration_sync_test.cc
+++ b/tests/libraries/configuration/configuration_sync_test.cc
@@ -200,6 +200,30 @@
   EXPECT_FALSE(restarted.sync->ready());
 }
 
+// Guards against a router that skips the changes of a generation whose row is missing, and against
+// one that stays behind because of it.
+TEST(ConfigurationSyncTest, ReadsTheSnapshotIfAChangeRowIsMissing) {
+  Fleet fleet;
+  fleet.Start("a");
+  fleet.Apply("a", "1", Sample({1.0}));
+  fleet.Run(kSecond);
+  const auto first = fleet.routers.at("a").store.held();
+  for (const std::string identifier : {"2", "3"}) {
+    fleet.Apply("a", identifier, Sample({1.0, std::stod(identifier)}));
+    fleet.Run(kSecond);
+  }
+  fleet.Apply("a", "4", Sample({2.0, 3.0}));
+  fleet.Run(kSecond);
+  for (const std::uint64_t missing : {2U, 4U}) {
+    fleet.platform.rows.erase(ChangeKey(missing));
+    auto& behind = fleet.Start("b");
+    behind.store.Adopt(first);
+    fleet.Run(kSecond * 3);
+    EXPECT_EQ(behind.store.generation(), 4U);
+    EXPECT_EQ(LiveSections(*behind.store.held()), ToSections(Sample({2.0, 3.0})));
+  }
+}
+
 // Guards against a change that reaches other routers only with the next poll.
 TEST(ConfigurationSyncTest, PeerGenerationIsFetchedAtOnce) {
   Fleet fleet;
