--- /dev/null
+++ b/libraries/metrics/distribution.h
@@ -0,0 +1,66 @@
+#ifndef POMELOSPAR_LIBRARIES_METRICS_DISTRIBUTION_H_
+#define POMELOSPAR_LIBRARIES_METRICS_DISTRIBUTION_H_
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <tuple>
+
+namespace pomelospar::metrics {
+
+/// Number of finite bucket bounds; values above the last go into one more bucket.
+inline constexpr std::size_t kBuckets = 12;
+
+/// The range of a distribution. Bounds grow by the same factor from `lowest` to `highest`; values
+/// below `lowest` count in the first bucket.
+struct BucketRange {
+  double lowest = 0.0;
+  double highest = 0.0;
+};
+
+/// Count, sum, mean, maximum and buckets of the recorded values. Takes no memory on the heap; the
+/// quantile accumulators are not used because their markers take about 500 bytes each. A value
+/// equal to a bound counts in the bucket above it.
+class Distribution {
+ public:
+  explicit Distribution(const BucketRange& range);
+
+  void Record(double value);
+
+  std::uint64_t count() const;
+  double sum() const;
+  double mean() const;
+  /// Zero if nothing was recorded.
+  double maximum() const;
+  /// Upper bound of a bucket, index below `kBuckets`.
+  double BoundOf(std::size_t index) const;
+  /// Values in the bucket `index` alone; index `kBuckets` is above the last bound.
+  std::uint64_t CountIn(std::size_t index) const;
+
+ private:
+  using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log,
+                                               boost::histogram::axis::null_type>;
+  // Underflow, buckets, overflow.
+  using Storage = boost::histogram::storage_adaptor<std::array<std::uint32_t, kBuckets + 1>>;
+  using Buckets = boost::histogram::histogram<std::tuple<Axis>, Storage>;
+  using Summary = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                 boost::accumulators::tag::mean, boost::accumulators::tag::max>>;
+
+  Summary summary;
+  Buckets buckets;
+};
+
+}  // namespace pomelospar::metrics
+
+#endif  // POMELOSPAR_LIBRARIES_METRICS_DISTRIBUTION_H_
