--- a/libraries/metrics/metrics_registry.cc
+++ b/libraries/metrics/metrics_registry.cc
@@ -104,7 +104,7 @@
 }
 
 MetricsRegistry::MetricsRegistry(std::size_t maximum_series, std::size_t maximum_values)
-    : maximum_series(std::max<std::size_t>(1, maximum_series)), maximum_values(maximum_values) {}
+    : maximum_series(std::max<std::size_t>(4, maximum_series)), maximum_values(maximum_values) {}
 
 Series& MetricsRegistry::FindSeries(std::string_view workspace, std::string_view request_class) {
   const std::array<Label, 2> names = {{{"workspace", workspace}, {"class", request_class}}};
@@ -115,8 +115,9 @@
   }
   // The last places are kept for the series "other" of each class and of all classes together.
   const bool is_other = workspace == kOther;
+  const bool is_last_resort = is_other && request_class == kOther;
   const std::size_t reserved = is_other ? 1 : std::min<std::size_t>(16, this->maximum_series / 4);
-  if (this->series.size() + reserved >= this->maximum_series && request_class != kOther) {
+  if (this->series.size() + reserved >= this->maximum_series && !is_last_resort) {
     return this->FindSeries(kOther, is_other ? kOther : request_class);
   }
   this->series.push_back(NamedSeries{labels, Series()});
