--- /dev/null
+++ b/libraries/membership/member_probes.cc
@@ -0,0 +1,312 @@
+// The part of MemberTable that happens with time: probes, suspicion, joining.
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/membership/member_table.h"
+
+namespace pomelospar::membership {
+namespace {
+
+// A late Ack counts as evidence for this long after the probe was sent.
+constexpr core::Duration kKeepProbe = std::chrono::seconds(3);
+constexpr core::Duration kKeepRelay = std::chrono::seconds(2);
+// Without a tick for this long the process was paused: what it waited for may have arrived.
+constexpr core::Duration kPause = std::chrono::seconds(1);
+constexpr core::Duration kJoinPeriod = std::chrono::milliseconds(500);
+constexpr core::Duration kJoinTime = std::chrono::seconds(10);
+constexpr std::size_t kJoinPeers = 3;
+constexpr core::Duration kForgetPeriod = std::chrono::seconds(10);
+// Extra probes a second to settle contradictions. After a partition both sides of a fleet of 370
+// hold hundreds of members for dead; a probe with its Ack takes about 300 bytes.
+constexpr double kVerificationsPerSecond = 40;
+constexpr std::size_t kMaximumToVerify = 512;
+// When a member of a domain becomes suspect, others of its domain are probed early, so that the
+// loss of a whole domain is noticed in seconds.
+constexpr std::size_t kNeighbours = 3;
+
+}  // namespace
+
+Output MemberTable::Tick(core::TimePoint now) {
+  Output output;
+  this->NotePause(now);
+  this->AdvanceProbes(now, &output);
+  this->AdvanceSuspects(now, &output);
+  this->ProbePeriodically(now, &output);
+  this->Join(now, &output);
+  this->SendVerifications(now, &output);
+  this->ForgetOld(now);
+  this->last_tick = now;
+  return output;
+}
+
+void MemberTable::NotePause(core::TimePoint now) {
+  if (now - this->last_tick < kPause) {
+    return;
+  }
+  this->probes.clear();
+  for (auto& [address, member] : this->list.members()) {
+    if (member.status == MemberStatus::kSuspect) {
+      member.changed = now;
+      member.probing_since = now;
+    }
+  }
+}
+
+void MemberTable::AdvanceProbes(core::TimePoint now, Output* output) {
+  std::vector<std::uint64_t> to_help;
+  for (auto& [number, probe] : this->probes) {
+    const core::Duration age = now - probe.sent;
+    if (!probe.settled && !probe.indirect && age >= this->options.ack_timeout) {
+      probe.indirect = true;
+      to_help.push_back(number);
+    } else if (!probe.settled && age >= 2 * this->options.ack_timeout) {
+      probe.settled = true;
+      this->FailProbe(probe, now);
+    }
+  }
+  for (const std::uint64_t number : to_help) {
+    const core::RouterIdentity target = this->probes.at(number).target;
+    if (target.incarnation != 0) {
+      this->AskHelpers(number, target, now, output);
+    }
+  }
+  std::erase_if(this->probes,
+                [&](const auto& entry) { return now - entry.second.sent > kKeepProbe; });
+  std::erase_if(this->relays,
+                [&](const auto& entry) { return now - entry.second.sent > kKeepRelay; });
+}
+
+void MemberTable::AdvanceSuspects(core::TimePoint now, Output* output) {
+  if (this->list.suspects() == 0) {
+    return;
+  }
+  std::vector<std::string> to_bury;
+  for (auto& [address, member] : this->list.members()) {
+    if (member.status != MemberStatus::kSuspect) {
+      continue;
+    }
+    if (!member.probed_here) {
+      // Whoever raised the suspicion decides first. The random delay spreads the probes of others.
+      if (now - member.changed >= this->options.suspicion && this->random() % 4 == 0) {
+        this->StartSuspicion(&member, now);
+      }
+      continue;
+    }
+    if (member.heard >= member.probing_since) {
+      member.probing_since = now;
+    } else if (now - member.probing_since >= this->options.suspicion) {
+      to_bury.push_back(address);
+      continue;
+    }
+    if (now >= member.next_round) {
+      member.next_round = now + this->options.ack_timeout;
+      this->StartRound(member.identity, now, output);
+    }
+  }
+  for (const auto& address : to_bury) {
+    this->list.Bury(address, now, &output->events);
+    this->queue.Add(address, now);
+  }
+}
+
+void MemberTable::ProbePeriodically(core::TimePoint now, Output* output) {
+  const auto due = [now](core::TimePoint* next, core::Duration period) {
+    if (now < *next) {
+      return false;
+    }
+    // After a pause the missed probes are not made up for.
+    *next = std::max(*next + period, now);
+    return true;
+  };
+  if (due(&this->next_own_domain, this->options.own_domain_period)) {
+    const Member* target = this->NextInCycle(&this->own_domain_cycle, [this](const Member& member) {
+      return member.live() && member.domain == this->options.domain;
+    });
+    if (target != nullptr) {
+      this->StartProbe(target->identity, now, output);
+    }
+  }
+  if (due(&this->next_other_domain, this->options.other_domain_period)) {
+    const Member* target =
+        this->NextInCycle(&this->other_domain_cycle, [this](const Member& member) {
+          return member.live() && member.domain != this->options.domain;
+        });
+    if (target != nullptr) {
+      this->StartProbe(target->identity, now, output);
+    }
+  }
+  if (due(&this->next_dead, this->options.dead_period)) {
+    const auto addresses = this->AddressesWithoutLiveMember();
+    if (!addresses.empty()) {
+      this->StartProbe({addresses[this->random() % addresses.size()], 0}, now, output);
+    }
+  }
+}
+
+void MemberTable::Join(core::TimePoint now, Output* output) {
+  if (this->is_synchronized || now < this->next_join) {
+    return;
+  }
+  if (!this->join_started) {
+    this->join_started = now;
+  }
+  if (this->seeds.empty() || now - *this->join_started > kJoinTime) {
+    this->is_synchronized = true;
+    return;
+  }
+  this->next_join = now + kJoinPeriod;
+  std::vector<std::string> peers;
+  std::sample(this->seeds.begin(), this->seeds.end(), std::back_inserter(peers), kJoinPeers,
+              this->random);
+  for (const auto& address : peers) {
+    this->SendPing({address, 0}, 0, {.full = true}, now, output);
+  }
+}
+
+void MemberTable::SendVerifications(core::TimePoint now, Output* output) {
+  const double seconds = std::chrono::duration<double>(now - this->last_tick).count();
+  this->verification_tokens = std::min(
+      kVerificationsPerSecond, this->verification_tokens + seconds * kVerificationsPerSecond);
+  if (this->to_verify.empty() || this->verification_tokens < 1) {
+    return;
+  }
+  std::vector<std::string> chosen;
+  std::sample(this->to_verify.begin(), this->to_verify.end(), std::back_inserter(chosen),
+              static_cast<std::size_t>(this->verification_tokens), this->random);
+  this->verification_tokens -= static_cast<double>(chosen.size());
+  for (const auto& address : chosen) {
+    this->to_verify.erase(address);
+    const Member* member = this->list.Find(address);
+    const bool suspect = member != nullptr && member->status == MemberStatus::kSuspect;
+    if (!suspect) {
+      const bool live = member != nullptr && member->live();
+      this->StartProbe({address, live ? member->identity.incarnation : 0}, now, output);
+    }
+  }
+}
+
+void MemberTable::ForgetOld(core::TimePoint now) {
+  if (now < this->next_forget) {
+    return;
+  }
+  this->next_forget = now + kForgetPeriod;
+  this->list.Forget(now - this->options.forget_dead, this->seeds);
+}
+
+void MemberTable::StartProbe(const core::RouterIdentity& target, core::TimePoint now,
+                             Output* output) {
+  const std::uint64_t number = this->next_probe++;
+  this->probes[number] = Probe{.target = target, .sent = now};
+  this->SendPing(target, number, {}, now, output);
+}
+
+// One attempt to reach a suspect on all ways at once.
+void MemberTable::StartRound(const core::RouterIdentity& target, core::TimePoint now,
+                             Output* output) {
+  const std::uint64_t number = this->next_probe++;
+  this->probes[number] = Probe{.target = target, .sent = now, .indirect = true, .settled = true};
+  this->SendPing(target, number, {}, now, output);
+  this->AskHelpers(number, target, now, output);
+}
+
+void MemberTable::AskHelpers(std::uint64_t number, const core::RouterIdentity& target,
+                             core::TimePoint now, Output* output) {
+  // Without an incarnation the ping is also accepted by a process that was started since.
+  this->SendPing({target.address, 0}, number, {}, now, output);
+  std::vector<core::RouterIdentity> candidates;
+  for (const auto& [address, member] : this->list.members()) {
+    if (member.live() && member.status != MemberStatus::kSuspect && address != target.address) {
+      candidates.push_back(member.identity);
+    }
+  }
+  std::vector<core::RouterIdentity> chosen;
+  std::sample(candidates.begin(), candidates.end(), std::back_inserter(chosen),
+              this->options.helpers, this->random);
+  for (const auto& helper : chosen) {
+    OutgoingMessage outgoing{.receiver = helper};
+    wire::PingRequest* request = outgoing.message.mutable_ping_request();
+    request->set_probe(number);
+    request->mutable_target()->set_address(target.address);
+    request->mutable_target()->set_incarnation(target.incarnation);
+    this->FillPiggyback(request->mutable_piggyback(), helper, {}, now);
+    if (const Member* member = this->list.Find(target)) {
+      *request->mutable_piggyback()->add_members() = UpdateOf(*member);
+    }
+    output->messages.push_back(std::move(outgoing));
+  }
+}
+
+void MemberTable::FailProbe(const Probe& probe, core::TimePoint now) {
+  Member* member = this->list.Find(probe.target.address);
+  if (member == nullptr || member->identity != probe.target || !member->live() ||
+      member->heard >= probe.sent) {
+    return;
+  }
+  if (this->list.Suspect(probe.target.address, now)) {
+    this->queue.Add(probe.target.address, now);
+    std::vector<std::string> neighbours;
+    for (const auto& [address, other] : this->list.members()) {
+      if (other.domain == member->domain && other.live() &&
+          other.status != MemberStatus::kSuspect) {
+        neighbours.push_back(address);
+      }
+    }
+    std::sample(neighbours.begin(), neighbours.end(),
+                std::inserter(this->to_verify, this->to_verify.end()), kNeighbours, this->random);
+  }
+  if (!member->probed_here) {
+    this->StartSuspicion(member, now);
+  }
+}
+
+void MemberTable::StartSuspicion(Member* member, core::TimePoint now) {
+  member->probed_here = true;
+  member->probing_since = now;
+  member->next_round = now;
+}
+
+void MemberTable::Verify(const std::string& address) {
+  if (this->to_verify.size() < kMaximumToVerify) {
+    this->to_verify.insert(address);
+  }
+}
+
+// Random order without repetition bounds the time until every member is probed.
+const Member* MemberTable::NextInCycle(Cycle* cycle,
+                                       const std::function<bool(const Member&)>& eligible) {
+  for (int round = 0; round < 2; ++round) {
+    while (cycle->next < cycle->order.size()) {
+      const Member* member = this->list.Find(cycle->order[cycle->next++]);
+      if (member != nullptr && eligible(*member)) {
+        return member;
+      }
+    }
+    cycle->order.clear();
+    cycle->next = 0;
+    for (const auto& [address, member] : this->list.members()) {
+      if (eligible(member)) {
+        cycle->order.push_back(address);
+      }
+    }
+    std::shuffle(cycle->order.begin(), cycle->order.end(), this->random);
+  }
+  return nullptr;
+}
+
+std::vector<std::string> MemberTable::AddressesWithoutLiveMember() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, member] : this->list.members()) {
+    if (!member.live()) {
+      addresses.push_back(address);
+    }
+  }
+  for (const auto& address : this->seeds) {
+    if (this->list.Find(address) == nullptr) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace pomelospar::membership
--- a/libraries/transport/control_transport.cc
+++ b/libraries/transport/control_transport.cc
@@ -20,9 +20,8 @@
 std::string UrlOf(std::string_view address) { return fmt::format("tcp://{}", address); }
 
 core::Error ListenError(const std::string& address, int code) {
-  const auto kind = code == NNG_EADDRINVAL || code == NNG_EINVAL
-                        ? core::ErrorKind::kInvalidArgument
-                        : core::ErrorKind::kUnavailable;
+  const auto kind = code == NNG_EADDRINVAL || code == NNG_EINVAL ? core::ErrorKind::kInvalidArgument
+                                                                 : core::ErrorKind::kUnavailable;
   return core::MakeError(kind, fmt::format("cannot listen on control address {}: {}; set an "
                                            "address of this instance with a free port",
                                            address, nng_strerror(code)));
--- a/libraries/wire/opener.cc
+++ b/libraries/wire/opener.cc
@@ -12,7 +12,8 @@
 namespace pomelospar::wire {
 namespace {
 
-// At 560 restarts a day this remembers every incarnation for a week; a window takes about 250 bytes.
+// At 560 restarts a day this remembers every incarnation for a week; a window takes about 250
+// bytes.
 constexpr std::size_t kMaximumSenders = 4096;
 
 bool IsProbe(const Message& message) {
@@ -30,9 +31,15 @@
 
 std::string_view NameOf(RejectReason reason) {
   static constexpr std::array<std::string_view, kRejectReasons> kNames = {
-      "too_short",     "too_large",      "unknown_key",
-      "bad_authenticator", "malformed",  "wrong_version",
-      "wrong_receiver_address", "wrong_receiver_incarnation", "replayed"};
+      "too_short",
+      "too_large",
+      "unknown_key",
+      "bad_authenticator",
+      "malformed",
+      "wrong_version",
+      "wrong_receiver_address",
+      "wrong_receiver_incarnation",
+      "replayed"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
