Membership: Complete a joint start within seconds

Others wait twice the suspicion time before they probe a suspect themselves; before, all 370 probed it while the decision was on its way.

--- a/libraries/membership/member_probes.cc
+++ b/libraries/membership/member_probes.cc
@@ -13,7 +13,11 @@
 constexpr core::Duration kKeepRelay = std::chrono::seconds(2);
 // Without a tick for this long the process was paused: what it waited for may have arrived.
 constexpr core::Duration kPause = std::chrono::seconds(1);
+// Whoever raised a suspicion decides first; others only probe the suspect themselves if they have
+// not heard the decision after this many suspicion times.
+constexpr int kSuspicionsOfOthers = 2;
 constexpr core::Duration kJoinPeriod = std::chrono::milliseconds(500);
+constexpr core::Duration kJoinProbePeriod = std::chrono::milliseconds(200);
 constexpr core::Duration kJoinTime = std::chrono::seconds(10);
 constexpr std::size_t kJoinPeers = 3;
 constexpr core::Duration kForgetPeriod = std::chrono::seconds(10);
@@ -21,8 +25,8 @@
 // hold hundreds of members for dead; a probe with its Ack takes about 300 bytes.
 constexpr double kVerificationsPerSecond = 40;
 constexpr std::size_t kMaximumToVerify = 512;
-// When a member of a domain becomes suspect, others of its domain are probed early, so that the
-// loss of a whole domain is noticed in seconds.
+// When a member becomes suspect, or comes back, others of its domain are probed early, so that the
+// loss and the return of a whole domain are noticed in seconds.
 constexpr std::size_t kNeighbours = 3;
 
 }  // namespace
@@ -87,8 +91,9 @@
       continue;
     }
     if (!member.probed_here) {
-      // Whoever raised the suspicion decides first. The random delay spreads the probes of others.
-      if (now - member.changed >= this->options.suspicion && this->random() % 4 == 0) {
+      // The random delay spreads the probes of many routers that heard at the same time.
+      if (now - member.changed >= kSuspicionsOfOthers * this->options.suspicion &&
+          this->random() % 4 == 0) {
         this->StartSuspicion(&member, now);
       }
       continue;
@@ -144,8 +149,10 @@
   }
 }
 
+// Routers that start together learn of each other only in parts, hence a router goes on to compare
+// digests with random peers until several agree.
 void MemberTable::Join(core::TimePoint now, Output* output) {
-  if (this->is_synchronized || now < this->next_join) {
+  if (this->join_complete || now < this->next_join) {
     return;
   }
   if (!this->join_started) {
@@ -153,6 +160,15 @@
   }
   if (this->seeds.empty() || now - *this->join_started > kJoinTime) {
     this->is_synchronized = true;
+    this->join_complete = true;
+    return;
+  }
+  if (this->is_synchronized) {
+    this->next_join = now + kJoinProbePeriod;
+    const auto known = this->LiveMembers();
+    if (!known.empty()) {
+      this->StartProbe(known[this->random() % known.size()], now, output);
+    }
     return;
   }
   this->next_join = now + kJoinPeriod;
@@ -245,21 +261,30 @@
   }
   if (this->list.Suspect(probe.target.address, now)) {
     this->queue.Add(probe.target.address, now);
-    std::vector<std::string> neighbours;
-    for (const auto& [address, other] : this->list.members()) {
-      if (other.domain == member->domain && other.live() &&
-          other.status != MemberStatus::kSuspect) {
-        neighbours.push_back(address);
-      }
-    }
-    std::sample(neighbours.begin(), neighbours.end(),
-                std::inserter(this->to_verify, this->to_verify.end()), kNeighbours, this->random);
+    this->VerifyNeighbours(*member);
   }
   if (!member->probed_here) {
     this->StartSuspicion(member, now);
   }
 }
 
+void MemberTable::VerifyNeighbours(const Member& member) {
+  const bool expect_live = member.status == MemberStatus::kSuspect;
+  std::vector<std::string> neighbours;
+  for (const auto& [address, other] : this->list.members()) {
+    if (other.domain == member.domain && other.live() == expect_live &&
+        other.status != MemberStatus::kSuspect) {
+      neighbours.push_back(address);
+    }
+  }
+  std::vector<std::string> chosen;
+  std::sample(neighbours.begin(), neighbours.end(), std::back_inserter(chosen), kNeighbours,
+              this->random);
+  for (const auto& address : chosen) {
+    this->Verify(address);
+  }
+}
+
 void MemberTable::StartSuspicion(Member* member, core::TimePoint now) {
   member->probed_here = true;
   member->probing_since = now;
--- a/libraries/membership/member_table.cc
+++ b/libraries/membership/member_table.cc
@@ -10,6 +10,9 @@
 // Pings on behalf of others that are kept at a time; bounds what peers can make this router store.
 constexpr std::size_t kMaximumRelays = 1024;
 // Routers that hold different views after an exchange try again, ever less often.
+constexpr core::Duration kJoinExchangeWait = std::chrono::milliseconds(300);
+// Peers that must have the same view before a router takes its own for complete.
+constexpr int kJoinMatches = 3;
 constexpr core::Duration kFirstExchangeWait = std::chrono::seconds(1);
 constexpr core::Duration kLastExchangeWait = std::chrono::seconds(32);
 
@@ -38,6 +41,8 @@
   this->seeds = std::move(addresses);
   if (!this->seeds.empty() && this->list.members().empty()) {
     this->is_synchronized = false;
+    this->join_complete = false;
+    this->join_matches = 0;
     this->join_started.reset();
   }
 }
@@ -62,6 +67,8 @@
   if (this->list.Hear(from, answers_probe, now, &output.events)) {
     this->queue.Add(from.address, now);
   }
+  const Member* before = this->list.Find(from);
+  const bool was_dead = before != nullptr && !before->live();
   switch (message.kind_case()) {
     case wire::Message::kPing:
       this->HandlePing(from, message.ping(), now, &output);
@@ -75,6 +82,9 @@
     default:
       break;
   }
+  if (was_dead && this->IsLive(from)) {
+    this->VerifyNeighbours(*this->list.Find(from));
+  }
   return output;
 }
 
@@ -255,10 +265,21 @@
   if (piggyback.member_digest() == this->digest()) {
     this->last_match = now;
     this->exchange_wait = kFirstExchangeWait;
+    // After an exchange the two always agree, even if neither knows the others yet.
+    if (this->is_synchronized && !piggyback.full() && ++this->join_matches >= kJoinMatches) {
+      this->join_complete = true;
+    }
+    return;
+  }
+  const bool lasts =
+      !this->join_complete || now - this->last_match >= this->options.mismatch_patience;
+  if (!this->is_synchronized || !lasts || now < this->next_exchange || !this->IsLive(from)) {
     return;
   }
-  if (!this->is_synchronized || now < this->next_exchange ||
-      now - this->last_match < this->options.mismatch_patience || !this->IsLive(from)) {
+  this->join_matches = 0;
+  if (!this->join_complete) {
+    this->next_exchange = now + kJoinExchangeWait;
+    this->SendPing(from, 0, {.full = true}, now, output);
     return;
   }
   this->next_exchange = now + this->exchange_wait;
--- a/libraries/membership/member_table.h
+++ b/libraries/membership/member_table.h
@@ -122,6 +122,7 @@
   bool ApplyAboutSelf(const wire::MemberUpdate& update, core::TimePoint now);
   void ReportPeerState(const core::RouterIdentity& from, const wire::Piggyback& piggyback,
                        Output* output) const;
+  void VerifyNeighbours(const Member& member);
   void CompareDigests(const core::RouterIdentity& from, const wire::Piggyback& piggyback,
                       core::TimePoint now, Output* output);
   void FillPiggyback(wire::Piggyback* piggyback, const core::RouterIdentity& receiver,
@@ -178,6 +179,8 @@
   core::TimePoint next_forget;
 
   bool is_synchronized = false;
+  bool join_complete = false;
+  int join_matches = 0;
   std::optional<core::TimePoint> join_started;
   core::TimePoint next_join;
   core::TimePoint last_match;
