--- a/tests/libraries/claims/claim_simulation.cc
+++ b/tests/libraries/claims/claim_simulation.cc
@@ -99,6 +99,7 @@
   }
   this->At(this->Draw(0, 60), [this, router, transactions, callback] {
     std::vector<platform::TransactionResult> results;
+    results.reserve(transactions.size());
     for (const auto& transaction : transactions) {
       results.push_back(this->Apply(transaction));
     }
--- a/tests/libraries/claims/claim_store_test.cc
+++ b/tests/libraries/claims/claim_store_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <utility>
+
 #include "tests/libraries/claims/claim_simulation.h"
 
 namespace pomelospar::claims {
@@ -99,7 +101,7 @@
 RC_GTEST_PROP(ClaimRowProperty, KeepsAnyAnswer,
               (std::string name, std::string value, std::string body)) {
   const ClaimRow row{"1-1", "hash", ClaimState::kAnswered,
-                     RecordedAnswer{201, {{name, value}}, body}};
+                     RecordedAnswer{201, {{name, value}}, std::move(body)}};
   const auto text = EncodeClaimRow(row);
   const auto decoded = DecodeClaimRow(text);
   RC_ASSERT(decoded.has_value());
