--- a/libraries/admission/stream_cost.cc
+++ b/libraries/admission/stream_cost.cc
@@ -49,28 +49,38 @@
   return ParseUsage(event["usage"]);
 }
 
-/// The last `usage` object in the end of a document. Inside a JSON string quotes are escaped, so
-/// text that a caller made the engine repeat cannot look like this key.
-std::optional<Usage> ParseUsageOfTail(std::string_view tail) {
-  const auto key = tail.rfind(kUsageKey);
-  if (key == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const auto begin = tail.find('{', key);
-  if (begin == std::string_view::npos) {
-    return std::nullopt;
-  }
+/// The object that begins at the first character of the text, or null.
+std::optional<Usage> ParseObject(std::string_view text) {
   int depth = 0;
-  for (std::size_t end = begin; end < tail.size(); ++end) {
-    depth += tail[end] == '{' ? 1 : 0;
-    depth -= tail[end] == '}' ? 1 : 0;
+  for (std::size_t end = 0; end < text.size(); ++end) {
+    depth += text[end] == '{' ? 1 : 0;
+    depth -= text[end] == '}' ? 1 : 0;
     if (depth == 0) {
-      return ParseUsage(nlohmann::json::parse(tail.substr(begin, end - begin + 1), nullptr, false));
+      return ParseUsage(nlohmann::json::parse(text.substr(0, end + 1), nullptr, false));
     }
   }
   return std::nullopt;
 }
 
+/// The last `usage` object in the end of a document. Inside a JSON string quotes are escaped, so
+/// text that a caller made the engine repeat cannot look like this key.
+std::optional<Usage> ParseUsageOfTail(std::string_view tail) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  while (true) {
+    const auto key = tail.rfind(kUsageKey);
+    if (key == std::string_view::npos) {
+      return std::nullopt;
+    }
+    const auto colon = tail.find_first_not_of(kSpace, key + kUsageKey.size());
+    const bool is_key = colon != std::string_view::npos && tail[colon] == ':';
+    const auto begin = is_key ? tail.find_first_not_of(kSpace, colon + 1) : std::string_view::npos;
+    if (begin != std::string_view::npos && tail[begin] == '{') {
+      return ParseObject(tail.substr(begin));
+    }
+    tail = tail.substr(0, key);
+  }
+}
+
 }  // namespace
 
 StreamCost::StreamCost(const configuration::CostUnits& units, ResponseFormat format,
