--- /dev/null
+++ b/tests/libraries/wire/envelope_test.cc
@@ -0,0 +1,219 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libraries/wire/opener.h"
+#include "libraries/wire/sealer.h"
+
+namespace pomelospar::wire {
+namespace {
+
+const std::string kSecret(32, 'a');
+const std::string kOtherSecret(32, 'b');
+const core::RouterIdentity kSender{"10.0.0.1:7100", 11};
+const core::RouterIdentity kReceiver{"10.0.0.2:7100", 22};
+
+std::shared_ptr<FleetKeys> Keys(const std::string& current, const std::string& previous = "") {
+  return FleetKeys::FromSecrets(current, previous).value();
+}
+
+Message PingMessage() {
+  Message message;
+  message.mutable_ping()->set_probe(7);
+  return message;
+}
+
+Message DemandMessage() {
+  Message message;
+  message.mutable_demand()->set_sequence(3);
+  return message;
+}
+
+// A datagram that is authentic whatever it carries.
+std::string Authentic(const std::string& serialized) {
+  const FleetKey key = FleetKey::Create(kSecret).value();
+  const std::uint32_t identifier = key.identifier();
+  std::string datagram(reinterpret_cast<const char*>(&identifier), kKeyIdentifierBytes);
+  const Authenticator authenticator = key.Authenticate(datagram + serialized);
+  datagram.append(authenticator.begin(), authenticator.end());
+  return datagram + serialized;
+}
+
+Envelope ValidEnvelope() {
+  Envelope envelope;
+  envelope.set_version(kProtocolVersion);
+  envelope.mutable_sender()->set_address(kSender.address);
+  envelope.mutable_sender()->set_incarnation(kSender.incarnation);
+  envelope.set_receiver_address(kReceiver.address);
+  envelope.set_receiver_incarnation(kReceiver.incarnation);
+  envelope.set_sequence(1);
+  *envelope.add_messages() = DemandMessage();
+  return envelope;
+}
+
+class OpenerTest : public testing::Test {
+ protected:
+  void ExpectRejected(const std::string& datagram, RejectReason reason) {
+    const std::uint64_t before = this->opener.rejected(reason);
+    const OpenResult result = this->opener.Open(datagram);
+    const auto* rejected = std::get_if<RejectReason>(&result);
+    ASSERT_NE(rejected, nullptr) << "opened, expected " << NameOf(reason);
+    EXPECT_EQ(NameOf(*rejected), NameOf(reason));
+    EXPECT_EQ(this->opener.rejected(reason), before + 1);
+  }
+  void ExpectRejected(const Envelope& envelope, RejectReason reason) {
+    this->ExpectRejected(Authentic(envelope.SerializeAsString()), reason);
+  }
+
+  Opener opener{kReceiver, Keys(kSecret)};
+};
+
+// Guards against a datagram that was altered on the way, or truncated, and still takes effect, and
+// against forged senders that push out the sequence numbers of real ones.
+RC_GTEST_PROP(OpenerProperty, AlteredDatagramNeverOpens, (const std::string& content)) {
+  Sealer sealer(kSender, Keys(kSecret));
+  Message message;
+  message.mutable_configuration_changes()->add_sections()->set_json(content);
+  std::string datagram = sealer.Seal(kReceiver, {message, PingMessage()}).value();
+  const std::string original = datagram;
+  if (*rc::gen::arbitrary<bool>()) {
+    datagram.resize(*rc::gen::inRange<std::size_t>(0, datagram.size()));
+  } else {
+    const auto bits = *rc::gen::inRange(1, 9);
+    for (int flip = 0; flip < bits; ++flip) {
+      const auto bit = *rc::gen::inRange<std::size_t>(0, datagram.size() * 8);
+      datagram[bit / 8] = static_cast<char>(datagram[bit / 8] ^ (1 << (bit % 8)));
+    }
+  }
+  RC_PRE(datagram != original);
+  Opener opener(kReceiver, Keys(kSecret, kOtherSecret));
+  const OpenResult altered = opener.Open(datagram);
+  RC_ASSERT(std::holds_alternative<RejectReason>(altered));
+  RC_ASSERT(opener.senders() == 0U);
+  const OpenResult intact = opener.Open(original);
+  RC_ASSERT(std::holds_alternative<Envelope>(intact));
+}
+
+// Guards against each kind of datagram that must not take effect, and against one that is counted
+// under the wrong reason.
+TEST_F(OpenerTest, RejectsWithTheReason) {
+  this->ExpectRejected(std::string(kHeaderBytes, 'x'), RejectReason::kTooShort);
+  this->ExpectRejected(std::string(kMaximumDatagramBytes + 1, 'x'), RejectReason::kTooLarge);
+  Sealer foreign(kSender, Keys(kOtherSecret));
+  this->ExpectRejected(foreign.Seal(kReceiver, {PingMessage()}).value(), RejectReason::kUnknownKey);
+  std::string forged = foreign.Seal(kReceiver, {PingMessage()}).value();
+  forged.replace(0, kKeyIdentifierBytes, Authentic("x"), 0, kKeyIdentifierBytes);
+  this->ExpectRejected(forged, RejectReason::kBadAuthenticator);
+  this->ExpectRejected(Authentic("\xff\xff\xff"), RejectReason::kMalformed);
+
+  Envelope envelope = ValidEnvelope();
+  envelope.mutable_sender()->set_incarnation(0);
+  this->ExpectRejected(envelope, RejectReason::kMalformed);
+  envelope = ValidEnvelope();
+  envelope.set_version(kProtocolVersion + 1);
+  this->ExpectRejected(envelope, RejectReason::kWrongVersion);
+  envelope = ValidEnvelope();
+  envelope.set_receiver_address("10.0.0.3:7100");
+  this->ExpectRejected(envelope, RejectReason::kWrongReceiverAddress);
+  envelope = ValidEnvelope();
+  envelope.set_receiver_incarnation(kReceiver.incarnation + 1);
+  this->ExpectRejected(envelope, RejectReason::kWrongReceiverIncarnation);
+  EXPECT_EQ(this->opener.senders(), 0U);
+  EXPECT_TRUE(std::holds_alternative<Envelope>(
+      this->opener.Open(Authentic(ValidEnvelope().SerializeAsString()))));
+  this->ExpectRejected(ValidEnvelope(), RejectReason::kReplayed);
+  EXPECT_EQ(this->opener.opened(), 1U);
+}
+
+// Guards against demand or grants that were meant for an earlier run of this router.
+TEST_F(OpenerTest, UnknownIncarnationAdmitsProbesOnly) {
+  Sealer sealer(kSender, Keys(kSecret));
+  const core::RouterIdentity unknown{kReceiver.address, 0};
+  this->ExpectRejected(sealer.Seal(unknown, {PingMessage(), DemandMessage()}).value(),
+                       RejectReason::kWrongReceiverIncarnation);
+  EXPECT_TRUE(std::holds_alternative<Envelope>(
+      this->opener.Open(sealer.Seal(unknown, {PingMessage()}).value())));
+}
+
+// Guards against unbounded memory: each restart of a router is a new sender.
+TEST_F(OpenerTest, RemembersABoundedNumberOfSenders) {
+  Envelope envelope = ValidEnvelope();
+  for (std::uint64_t incarnation = 1; incarnation <= 5000; ++incarnation) {
+    envelope.mutable_sender()->set_incarnation(incarnation);
+    this->opener.Open(Authentic(envelope.SerializeAsString()));
+  }
+  EXPECT_EQ(this->opener.opened(), 5000U);
+  EXPECT_EQ(this->opener.senders(), 4096U);
+}
+
+// Guards against a second effect of one datagram, and against datagrams refused only because they
+// arrived out of order.
+RC_GTEST_PROP(ReplayWindowProperty, AcceptsEachNumberOnceWithinTheWindow, ()) {
+  const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(-1500, 1500));
+  ReplayWindow window;
+  std::set<std::int64_t> seen;
+  std::int64_t highest = 0;
+  for (const int step : steps) {
+    const std::int64_t sequence = std::max<std::int64_t>(0, highest + step);
+    const bool expected = sequence > 0 &&
+                          highest - sequence < static_cast<std::int64_t>(ReplayWindow::kWindow) &&
+                          !seen.contains(sequence);
+    RC_ASSERT(window.Accept(static_cast<std::uint64_t>(sequence)) == expected);
+    if (expected) {
+      seen.insert(sequence);
+      highest = std::max(highest, sequence);
+    }
+  }
+}
+
+// Guards against a fleet that falls apart while its key is exchanged router by router.
+TEST(FleetKeysTest, RotationInThreeStepsLosesNoDatagram) {
+  const std::vector<std::pair<std::string, std::string>> steps = {
+      {kSecret, ""}, {kSecret, kOtherSecret}, {kOtherSecret, kSecret}, {kOtherSecret, ""}};
+  for (std::size_t step = 0; step + 1 < steps.size(); ++step) {
+    const auto before = Keys(steps[step].first, steps[step].second);
+    const auto after = Keys(steps[step + 1].first, steps[step + 1].second);
+    for (const auto& [from, to] : {std::pair(before, after), std::pair(after, before)}) {
+      Sealer sealer(kSender, from);
+      Opener opener(kReceiver, to);
+      EXPECT_TRUE(std::holds_alternative<Envelope>(
+          opener.Open(sealer.Seal(kReceiver, {PingMessage()}).value())))
+          << "step " << step;
+    }
+  }
+}
+
+// Guards against a reload that leaves a router without keys because a file is half written.
+TEST(FleetKeysTest, ReloadTakesNewKeysAndKeepsOldOnesOnError) {
+  const std::string path = testing::TempDir() + "/fleet_key";
+  std::ofstream(path) << kSecret << "\n";
+  const auto keys = FleetKeys::Load({.current = path}).value();
+  EXPECT_EQ(keys->current().identifier(), Keys(kSecret)->current().identifier());
+  std::ofstream(path) << "short";
+  EXPECT_TRUE(keys->Reload().has_error());
+  EXPECT_EQ(keys->current().identifier(), Keys(kSecret)->current().identifier());
+  std::ofstream(path) << kOtherSecret;
+  EXPECT_TRUE(keys->Reload().has_value());
+  EXPECT_EQ(keys->current().identifier(), Keys(kOtherSecret)->current().identifier());
+  const auto missing = FleetKeys::Load({.current = path + "_missing"});
+  EXPECT_TRUE(core::Is(missing.error(), core::ErrorKind::kNotFound));
+}
+
+// Guards against a datagram that every receiver would refuse.
+TEST(SealerTest, RefusesContentAboveTheLimit) {
+  Message message;
+  message.mutable_configuration_changes()->add_sections()->set_json(
+      std::string(kMaximumDatagramBytes, 'x'));
+  const auto sealed = Sealer(kSender, Keys(kSecret)).Seal(kReceiver, {message});
+  EXPECT_TRUE(core::Is(sealed.error(), core::ErrorKind::kTooLarge));
+}
+
+}  // namespace
+}  // namespace pomelospar::wire
