--- a/tests/libraries/metrics/metrics_registry_test.cc
+++ b/tests/libraries/metrics/metrics_registry_test.cc
@@ -20,7 +20,8 @@
 }
 
 // Guards against buckets, sums or maxima that disagree with the recorded values.
-RC_GTEST_PROP(DistributionProperty, AgreesWithNaiveCounts, (std::vector<std::uint16_t> samples)) {
+RC_GTEST_PROP(DistributionProperty, AgreesWithNaiveCounts,
+              (const std::vector<std::uint16_t>& samples)) {
   Distribution distribution({0.005, 20.0});
   double sum = 0.0;
   double maximum = 0.0;
