--- /dev/null
+++ b/utilities/pomelospar_load/plan/answer_check.h
@@ -0,0 +1,52 @@
+#ifndef POMELOSPAR_UTILITIES_POMELOSPAR_LOAD_PLAN_ANSWER_CHECK_H_
+#define POMELOSPAR_UTILITIES_POMELOSPAR_LOAD_PLAN_ANSWER_CHECK_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "utilities/pomelospar_load/plan/load_plan.h"
+
+namespace pomelospar::load {
+
+/// Checks that the body of a response with status 200 is the whole answer to its own request, as
+/// the engine and service emulators give it: the engine's text begins with "user=USER nonce=NONCE"
+/// and has as many tokens as `usage` says; a stream ends with `[DONE]`; the service echoes key and
+/// nonce.
+class AnswerCheck {
+ public:
+  explicit AnswerCheck(const PlannedRequest& request);
+
+  /// The next piece of the body, cut anywhere. Returns the number of events that it completed (for
+  /// a body that is no stream, 1 for the first piece and else 0).
+  std::uint32_t Feed(std::string_view piece);
+
+  /// Empty if the body that was fed is the whole and right answer, else what is wrong with it.
+  std::string Finish();
+
+  /// Tokens received so far.
+  std::uint64_t tokens() const { return this->token_count; }
+
+ private:
+  void ReadLine();
+  void ReadEvent(std::string_view data);
+  void ReadDocument();
+  void ReadText(std::string_view text);
+
+  RequestKind kind;
+  std::string key;
+  std::string nonce;
+  std::string expected_begin;
+  std::string buffer;
+  std::string begin;
+  std::string problem;
+  bool is_done = false;
+  bool is_started = false;
+  std::uint32_t completed_events = 0;
+  std::uint64_t token_count = 0;
+  std::uint64_t usage_tokens = 0;
+};
+
+}  // namespace pomelospar::load
+
+#endif  // POMELOSPAR_UTILITIES_POMELOSPAR_LOAD_PLAN_ANSWER_CHECK_H_
