--- a/utilities/pomelospar_load/main.cc
+++ b/utilities/pomelospar_load/main.cc
@@ -20,6 +20,7 @@
 DEFINE_uint32(callers, 10, "callers in each workspace");
 DEFINE_string(max_tokens, "fixed:64", "fixed:N, uniform:LOW:HIGH or exponential:MEAN:LOW:HIGH");
 DEFINE_uint32(prompt_bytes, 200, "length of a prompt or of a post's content");
+DEFINE_string(extra_fields, "{}", "JSON object whose fields are added to every body");
 DEFINE_string(model, "", "model that chat requests name");
 DEFINE_string(chat_path, "/v1/chat/completions", "path of chat requests");
 DEFINE_string(post_path, "/orders", "path of posts");
@@ -47,6 +48,7 @@
   source.concurrency = FLAGS_concurrency;
   source.callers = FLAGS_callers;
   source.prompt_bytes = FLAGS_prompt_bytes;
+  source.extra_fields = FLAGS_extra_fields;
   source.model = FLAGS_model;
   source.chat_path = FLAGS_chat_path;
   source.post_path = FLAGS_post_path;
--- a/utilities/pomelospar_load/plan/load_plan.cc
+++ b/utilities/pomelospar_load/plan/load_plan.cc
@@ -66,6 +66,7 @@
 
 std::string BodyOf(const PlannedRequest& request, const Source& source) {
   nlohmann::ordered_json body = {{"user", request.caller}, {"nonce", request.nonce}};
+  body.update(nlohmann::ordered_json::parse(source.extra_fields));
   if (request.kind == RequestKind::kPost) {
     body["items"] = std::string(source.prompt_bytes, 'x');
     return body.dump();
@@ -176,6 +177,9 @@
     if (!source.classes.empty() && !HasWeight(source.classes)) {
       return Invalid("no class has a weight above zero; give one a weight");
     }
+    if (!nlohmann::json::parse(source.extra_fields, nullptr, false).is_object()) {
+      return Invalid("extra_fields is no JSON object; write {\"name\":value}");
+    }
     if (source.callers == 0) {
       return Invalid("a source needs callers; set --callers to 1 or more");
     }
--- a/utilities/pomelospar_load/plan/load_plan.h
+++ b/utilities/pomelospar_load/plan/load_plan.h
@@ -56,6 +56,8 @@
   std::string prompt_text;
   /// If set, all requests carry this nonce, so that those of one caller are the same request.
   std::string fixed_nonce;
+  /// JSON object whose fields are added to every body, for example to ask an emulator for a fault.
+  std::string extra_fields = "{}";
   std::string model;
   std::string chat_path = "/v1/chat/completions";
   std::string post_path = "/orders";
--- a/utilities/pomelospar_load/plan/load_report.cc
+++ b/utilities/pomelospar_load/plan/load_report.cc
@@ -117,7 +117,9 @@
     return;
   }
   group.whole.push_back(static_cast<float>(observation.done - observation.planned));
-  if (observation.first_event.has_value()) {
+  // The first bytes of a response that is not streamed are its whole text.
+  const bool is_stream = request.kind == RequestKind::kChatStream;
+  if (is_stream && observation.first_event.has_value()) {
     group.first_token.push_back(static_cast<float>(*observation.first_event - observation.planned));
   }
   group.between_tokens.insert(group.between_tokens.end(), observation.gaps.begin(),
@@ -144,12 +146,13 @@
 std::string LoadReport::Table(double seconds) const {
   std::string text;
   auto out = std::back_inserter(text);
-  fmt::format_to(out,
-                 "{:16} {:16} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8} {:>23} {:>20} {:>10} "
-                 "{:>6}\n",
-                 "workspace", "class", "sent", "answered", "failed", "refused", "not_run",
-                 "unknown", "wrong", "not_sent", "first token ms 50/95/99", "between ms 50/95/99",
-                 "tokens/s", "share");
+  fmt::format_to(
+      out,
+      "{:16} {:16} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8} {:>23} {:>20} {:>19} {:>10} "
+      "{:>6}\n",
+      "workspace", "class", "sent", "answered", "failed", "refused", "not_run", "unknown", "wrong",
+      "not_sent", "first token ms 50/95/99", "between ms 50/95/99", "whole ms 50/95/99", "tokens/s",
+      "share");
   const auto total = std::max<double>(1.0, static_cast<double>(this->TotalTokens()));
   for (const auto& [name, group] : this->groups) {
     const auto count = [&results = group.results](RequestResult result) {
@@ -158,16 +161,20 @@
     };
     const auto first = QuantilesOf(group.first_token);
     const auto between = QuantilesOf(group.between_tokens);
+    const auto whole = QuantilesOf(group.whole);
     const auto tokens = static_cast<double>(group.tokens);
-    fmt::format_to(
-        out, "{:16} {:16} {:8} {:8} {:7} {:7} {:7} {:7} {:6} {:8} {:>23} {:>20} {:10.1f} {:6.3f}\n",
-        Shorten(name.first), Shorten(name.second), group.sent, count(RequestResult::kAnswered),
-        count(RequestResult::kFailed), count(RequestResult::kRefused),
-        count(RequestResult::kNotRun), count(RequestResult::kUnknown), count(RequestResult::kWrong),
-        count(RequestResult::kNotSent),
-        fmt::format("{:.0f}/{:.0f}/{:.0f}", first[0], first[1], first[2]),
-        fmt::format("{:.1f}/{:.1f}/{:.1f}", between[0], between[1], between[2]), tokens / seconds,
-        tokens / total);
+    fmt::format_to(out,
+                   "{:16} {:16} {:8} {:8} {:7} {:7} {:7} {:7} {:6} {:8} {:>23} {:>20} {:>19} "
+                   "{:10.1f} {:6.3f}\n",
+                   Shorten(name.first), Shorten(name.second), group.sent,
+                   count(RequestResult::kAnswered), count(RequestResult::kFailed),
+                   count(RequestResult::kRefused), count(RequestResult::kNotRun),
+                   count(RequestResult::kUnknown), count(RequestResult::kWrong),
+                   count(RequestResult::kNotSent),
+                   fmt::format("{:.0f}/{:.0f}/{:.0f}", first[0], first[1], first[2]),
+                   fmt::format("{:.1f}/{:.1f}/{:.1f}", between[0], between[1], between[2]),
+                   fmt::format("{:.0f}/{:.0f}/{:.0f}", whole[0], whole[1], whole[2]),
+                   tokens / seconds, tokens / total);
   }
   return text;
 }
--- a/utilities/pomelospar_load/plan/plan_file.cc
+++ b/utilities/pomelospar_load/plan/plan_file.cc
@@ -43,6 +43,7 @@
   source.prompt_bytes = Take(table, "prompt_bytes", defaults.prompt_bytes);
   source.prompt_text = Take(table, "prompt_text", defaults.prompt_text);
   source.fixed_nonce = Take(table, "fixed_nonce", defaults.fixed_nonce);
+  source.extra_fields = Take(table, "extra_fields", defaults.extra_fields);
   source.model = Take(table, "model", defaults.model);
   source.chat_path = Take(table, "chat_path", defaults.chat_path);
   source.post_path = Take(table, "post_path", defaults.post_path);
