--- a/tests/libraries/admission/admission_test.cc
+++ b/tests/libraries/admission/admission_test.cc
@@ -182,7 +182,7 @@
 
 // Guards against retries that multiply an overload: more than 10% of requests, plus one in two
 // seconds, plus the burst of 10.
-RC_GTEST_PROP(RetryBudgetProperty, StaysWithinTheBudget, (std::vector<std::uint8_t> gaps)) {
+RC_GTEST_PROP(RetryBudgetProperty, StaysWithinTheBudget, (const std::vector<std::uint8_t>& gaps)) {
   core::TimePoint now(std::chrono::hours(1));
   const auto start = now;
   RetryBudget budget(now);
