--- /dev/null
+++ b/tests/libraries/scheduling/entry_test.cc
@@ -0,0 +1,278 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+#include "libraries/scheduling/demand_planner.h"
+#include "libraries/scheduling/entry_queues.h"
+#include "libraries/scheduling/shard_map.h"
+
+namespace pomelospar::scheduling {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const QueueKey kKey{core::UpstreamId{1}, core::WorkspaceId{1}, core::ClassId{1}};
+
+// Guards against callers that wait behind another caller's burst, limits that count wrongly, and
+// requests that are lost or served twice, against a naive list.
+RC_GTEST_PROP(EntryQueuesTest, AgreesWithNaiveVersion, (std::uint64_t seed)) {
+  std::mt19937_64 random(seed);
+  EntryQueues queues;
+  queues.SetLimits(kKey.workspace, {.requests = 12, .bytes = 100});
+  std::vector<QueuedRequest> naive;
+  std::vector<std::uint64_t> turn;
+  const auto drop = [&](std::uint64_t id) {
+    const auto found = std::ranges::find(naive, id, &QueuedRequest::id);
+    const auto caller = found->caller;
+    naive.erase(found);
+    if (std::ranges::find(naive, caller, &QueuedRequest::caller) == naive.end()) {
+      std::erase(turn, caller);
+    }
+  };
+  core::TimePoint now{seconds(100)};
+  for (std::uint64_t id = 1; id < 200; ++id) {
+    now += milliseconds(1);
+    std::size_t bytes = 0;
+    for (const auto& request : naive) {
+      bytes += request.bytes;
+    }
+    const auto kind = random() % 8;
+    if (kind < 5) {
+      const QueuedRequest request{
+          id, kKey, random() % 3, 1.0, random() % 20, now, now + milliseconds(random() % 60)};
+      const auto expected = naive.size() >= 12            ? PushResult::kTooManyRequests
+                            : bytes + request.bytes > 100 ? PushResult::kTooManyBytes
+                                                          : PushResult::kAccepted;
+      RC_ASSERT(queues.Push(request) == expected);
+      if (expected == PushResult::kAccepted) {
+        naive.push_back(request);
+        if (std::ranges::find(turn, request.caller) == turn.end()) {
+          turn.push_back(request.caller);
+        }
+      }
+    } else if (kind == 5) {
+      const auto popped = queues.Pop(kKey, now);
+      RC_ASSERT(popped.has_value() == !naive.empty());
+      if (popped.has_value()) {
+        const auto first = std::ranges::find(naive, turn.front(), &QueuedRequest::caller);
+        RC_ASSERT(popped->id == first->id);
+        std::rotate(turn.begin(), turn.begin() + 1, turn.end());
+        drop(popped->id);
+      }
+    } else if (kind == 6 && !naive.empty()) {
+      const auto id_to_remove = naive[random() % naive.size()].id;
+      RC_ASSERT(queues.Remove(id_to_remove));
+      RC_ASSERT(!queues.Remove(id_to_remove));
+      drop(id_to_remove);
+    } else {
+      for (const auto& request : queues.Expired(now)) {
+        RC_ASSERT(request.deadline <= now);
+        drop(request.id);
+      }
+      RC_ASSERT(std::ranges::none_of(
+          naive, [now](const auto& request) { return request.deadline <= now; }));
+    }
+    RC_ASSERT(queues.Depth(kKey) == naive.size());
+  }
+}
+
+// Guards against a Retry-After that ignores the backlog or the service rate.
+TEST(EntryQueuesTest, RetryAfterFollowsTheServiceRate) {
+  EntryQueues queues;
+  core::TimePoint now{seconds(100)};
+  EXPECT_EQ(queues.RetryAfter(kKey, now), seconds(1));
+  for (std::uint64_t id = 0; id < 300; ++id) {
+    queues.Push({.id = id, .key = kKey, .deadline = core::TimePoint::max()});
+  }
+  EXPECT_EQ(queues.RetryAfter(kKey, now), seconds(60));
+  for (int count = 0; count < 200; ++count) {
+    now += milliseconds(200);
+    queues.Pop(kKey, now);
+  }
+  // 100 requests wait at 5 a second; the average lags a little.
+  EXPECT_NEAR(static_cast<double>(queues.RetryAfter(kKey, now).count()), 20, 2);
+}
+
+class DemandPlannerTest : public testing::Test {
+ protected:
+  DemandPlannerTest() {
+    std::vector<ShardCandidates> shards;
+    for (std::uint32_t index = 0; index < 12; ++index) {
+      const core::DomainId domain{index < 3 ? 1U : 2U};
+      shards.push_back({{kKey.upstream, domain, index}, {{"first", index}, {"second", index}}});
+    }
+    this->planner.SetShards(kKey.upstream, shards);
+  }
+
+  void Push(std::size_t count = 1) {
+    for (std::size_t index = 0; index < count; ++index) {
+      this->queues.Push({.id = this->next_id++,
+                         .key = kKey,
+                         .estimated_cost = 1,
+                         .enqueued = this->now,
+                         .deadline = core::TimePoint::max()});
+    }
+  }
+
+  std::vector<Addressed<wire::Demand>> Plan() {
+    return this->planner.Plan(this->queues, this->now);
+  }
+
+  /// Plans and lets every allocator answer full demand.
+  std::vector<Addressed<wire::Demand>> PlanAnswered() {
+    auto output = this->Plan();
+    for (const auto& [receiver, demand] : output) {
+      wire::DemandAck answer;
+      *answer.mutable_shard() = demand.shard();
+      this->planner.Receive(receiver, answer, this->now);
+    }
+    return output;
+  }
+
+  GrantDecision Accept(const Addressed<wire::Demand>& demand, std::uint64_t id,
+                       core::Duration age = {}) {
+    wire::Grant grant;
+    *grant.mutable_shard() = demand.message.shard();
+    grant.set_grant(id);
+    grant.set_workspace(core::Raw(kKey.workspace));
+    grant.set_request_class(core::Raw(kKey.request_class));
+    grant.set_valid_milliseconds(500);
+    return this->planner.Accept(demand.receiver, grant, this->queues, this->now - age, this->now);
+  }
+
+  core::TimePoint now{seconds(100)};
+  std::uint64_t next_id = 1;
+  EntryQueues queues;
+  DemandPlanner planner{core::DomainId{1}};
+};
+
+// Guards against latency added to a lone request, and against demand for it at many allocators.
+TEST_F(DemandPlannerTest, LoneRequestIsOfferedAtOnceAndSpreadAfterFiveMilliseconds) {
+  this->Push();
+  const auto first = this->PlanAnswered();
+  ASSERT_EQ(first.size(), 1);
+  EXPECT_EQ(first[0].message.shard().domain(), 1);
+  EXPECT_EQ(first[0].message.rows(0).queued(), 1);
+  EXPECT_EQ(this->planner.NextPlan(this->queues, this->now), this->now + kSpreadAfter);
+  this->now += kSpreadAfter;
+  EXPECT_EQ(this->PlanAnswered().size(), kSpreadShards - 1);
+  EXPECT_TRUE(this->Plan().empty()) << "a second call without a change";
+}
+
+// Guards against messages that grow with the backlog, and demand that stays at the same shards.
+TEST_F(DemandPlannerTest, SteadyBacklogIsSentOnceASecondAndRotates) {
+  this->Push(100);
+  std::set<std::uint32_t> shards;
+  std::size_t messages = 0;
+  for (int step = 0; step < 1000; ++step) {
+    for (const auto& [receiver, demand] : this->PlanAnswered()) {
+      ++messages;
+      for (const auto& row : demand.rows()) {
+        EXPECT_LE(row.queued(), 4U);
+      }
+      shards.insert(demand.shard().index());
+    }
+    this->now += milliseconds(10);
+  }
+  EXPECT_EQ(shards.size(), 12);
+  // 10 s, 8 shards with full demand, and at each turn of the rotation one shard is left and one
+  // joined.
+  EXPECT_LE(messages, 10 * (kSpreadShards + 2) + kSpreadShards);
+}
+
+// Guards against a request that waits for a dead allocator, and an allocator that is never tried
+// again.
+TEST_F(DemandPlannerTest, SilentAllocatorIsSkippedAndTriedAgain) {
+  this->Push();
+  EXPECT_EQ(this->Plan()[0].receiver.address, "first");
+  const auto start = this->now;
+  std::vector<std::pair<core::Duration, std::string>> moves = {{{}, "first"}};
+  while (this->now < start + seconds(3)) {
+    this->now += milliseconds(10);
+    for (const auto& [receiver, demand] : this->Plan()) {
+      const bool offers = demand.rows_size() > 0 && demand.shard().index() == 1;
+      if (offers && receiver.address != moves.back().second) {
+        moves.emplace_back(this->now - start, receiver.address);
+      }
+      if (receiver.address == "second") {
+        wire::DemandAck answer;
+        *answer.mutable_shard() = demand.shard();
+        this->planner.Receive(receiver, answer, this->now);
+      }
+    }
+  }
+  ASSERT_GE(moves.size(), 3);
+  EXPECT_EQ(moves[1], std::make_pair(core::Duration(kAnswerTimeout), std::string("second")));
+  EXPECT_EQ(moves[2],
+            std::make_pair(core::Duration(kAnswerTimeout + kSkipTime), std::string("first")));
+}
+
+// Guards against use of an expired or repeated grant, a lost slot, and grants that are not renewed
+// or released.
+TEST_F(DemandPlannerTest, GrantsAreUsedRenewedAndReleased) {
+  this->Push(10);
+  const auto demand = this->PlanAnswered()[0];
+  const auto expired = this->Accept(demand, 1, milliseconds(501));
+  ASSERT_TRUE(expired.release.has_value());
+  EXPECT_EQ(expired.release->message.reason(), wire::RELEASE_UNUSED);
+  EXPECT_EQ(this->Accept(demand, 2).request->id, 1);
+  EXPECT_FALSE(this->Accept(demand, 2).request.has_value()) << "repeated grant";
+  EXPECT_EQ(this->planner.held_grants(), 1);
+  EXPECT_TRUE(this->Plan().empty());
+  this->Accept(demand, 3);
+  const auto confirmation = this->Plan();
+  ASSERT_EQ(confirmation.size(), 1) << "two unconfirmed grants";
+  EXPECT_EQ(confirmation[0].message.held_size(), 2);
+
+  this->planner.Charge(2, 7.0);
+  this->now += kFullDemandPeriod;
+  int renewed = 0;
+  for (const auto& [receiver, full] : this->PlanAnswered()) {
+    renewed += full.held_size();
+    for (const auto& row : full.rows()) {
+      EXPECT_EQ(row.running_charged(), full.held_size() > 0 ? 7.0 : 0.0);
+    }
+  }
+  EXPECT_EQ(renewed, 2);
+  const auto release = this->planner.Finish(2, wire::RELEASE_FINISHED, 70.0);
+  ASSERT_EQ(release.size(), 1);
+  EXPECT_EQ(release[0].receiver, demand.receiver);
+  EXPECT_EQ(release[0].message.actual_cost(), 7.0);
+  EXPECT_EQ(release[0].message.service_counter(), 70.0);
+  EXPECT_TRUE(this->planner.Finish(2, wire::RELEASE_FINISHED, 70.0).empty());
+  while (this->queues.Pop(kKey, this->now).has_value()) {
+  }
+  EXPECT_TRUE(this->Accept(demand, 4).release.has_value()) << "the queue is empty";
+}
+
+// Guards against shards that are too large on average, and a runner that moves all others.
+TEST(ShardMapTest, RunnersStayWhenOthersLeave) {
+  std::vector<core::RunnerId> runners;
+  for (std::uint64_t id = 1; id <= 1800; ++id) {
+    runners.emplace_back(core::RunnerId{id});
+  }
+  const auto shards = AssignShards(core::UpstreamId{1}, core::DomainId{1}, runners);
+  EXPECT_EQ(shards.size(), 360);
+  std::map<core::RunnerId, std::uint32_t> before;
+  for (const auto& entry : shards) {
+    for (const auto runner : entry.runners) {
+      before[runner] = entry.shard.index;
+    }
+  }
+  EXPECT_EQ(before.size(), 1800);
+  runners.pop_back();
+  for (const auto& entry : AssignShards(core::UpstreamId{1}, core::DomainId{1}, runners)) {
+    for (const auto runner : entry.runners) {
+      EXPECT_EQ(before[runner], entry.shard.index);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace pomelospar::scheduling
