--- a/libraries/configuration/sections.cc
+++ b/libraries/configuration/sections.cc
@@ -27,7 +27,9 @@
           {"maximum_answer_bytes", limits.maximum_answer_bytes},
           {"header_timeout_ms", limits.header_timeout.count()},
           {"body_timeout_ms", limits.body_timeout.count()},
-          {"queue_timeout_ms", limits.queue_timeout.count()}};
+          {"queue_timeout_ms", limits.queue_timeout.count()},
+          {"largest_request_cost", limits.largest_request_cost},
+          {"slot_service_rate", limits.slot_service_rate}};
 }
 
 json Encode(const RequestClass& item) { return {{"weight", item.weight}}; }
@@ -86,6 +88,8 @@
   limits.header_timeout = MillisecondsAt(value, "header_timeout_ms");
   limits.body_timeout = MillisecondsAt(value, "body_timeout_ms");
   limits.queue_timeout = MillisecondsAt(value, "queue_timeout_ms");
+  limits.largest_request_cost = At<double>(value, "largest_request_cost");
+  limits.slot_service_rate = At<double>(value, "slot_service_rate");
   return limits;
 }
 
