Scheduling: Offer demand to other domains when the own one has many shards

With 8 or more shards in the own domain, a queue never reached shards of other domains, so slots there stayed idle while it waited. Two of the 8 shards are now kept for other domains. The rotation starts at a place that depends on router, workspace and class; before, all queues moved to the same shards in the same second.

--- a/libraries/scheduling/demand_planner.cc
+++ b/libraries/scheduling/demand_planner.cc
@@ -9,8 +9,11 @@
 namespace pomelospar::scheduling {
 namespace {
 
-std::size_t RotationAt(core::TimePoint now) {
-  return static_cast<std::size_t>(now.time_since_epoch() / kFullDemandPeriod);
+/// Where the rotation of a queue stands; it moves by one shard in each period.
+std::size_t RotationAt(const QueueKey& key, std::uint64_t seed, core::TimePoint now) {
+  const auto hash = core::CombineHashes(
+      seed, core::CombineHashes(core::Raw(key.workspace), core::Raw(key.request_class)));
+  return hash % (1U << 20U) + static_cast<std::size_t>(now.time_since_epoch() / kFullDemandPeriod);
 }
 
 bool IsSpread(const QueueKey& key, const EntryQueues& queues, core::TimePoint now) {
@@ -187,7 +190,7 @@
   const auto depth =
       static_cast<std::uint32_t>(std::min<std::size_t>(queues.Depth(key), kDemandWindow));
   const SentRow row{depth, queues.MeanEstimatedCost(key)};
-  const auto rotation = RotationAt(now);
+  const auto rotation = RotationAt(key, this->rotation_seed, now);
   const auto offer = [&](std::size_t begin, std::size_t count, std::size_t limit) {
     for (std::size_t index = 0; index < std::min(count, limit); ++index) {
       const auto& shard = pool.shards[begin + (rotation + index) % count];
@@ -203,8 +206,9 @@
     }
     return;
   }
-  offer(0, pool.own, kSpreadShards);
-  offer(pool.own, others, kSpreadShards - std::min(kSpreadShards, pool.own));
+  const auto own = std::min(pool.own, kSpreadShards - std::min(others, kOtherDomainShards));
+  offer(0, pool.own, own);
+  offer(pool.own, others, kSpreadShards - own);
 }
 
 const core::RouterIdentity* DemandPlanner::ChooseAllocator(Link& link, core::TimePoint now) {
--- a/libraries/scheduling/demand_planner.h
+++ b/libraries/scheduling/demand_planner.h
@@ -22,6 +22,9 @@
 inline constexpr core::Duration kSpreadAfter = std::chrono::milliseconds(5);
 /// Most shards that one queue is offered to at once.
 inline constexpr std::size_t kSpreadShards = 8;
+/// Of these, shards that are kept for other domains if there are any. Without them, a queue in a
+/// domain with 8 shards or more could never use idle slots of other domains.
+inline constexpr std::size_t kOtherDomainShards = 2;
 /// Period of full demand and of the rotation among shards.
 inline constexpr core::Duration kFullDemandPeriod = std::chrono::seconds(1);
 /// An allocator that has not answered for this long is skipped.
@@ -53,7 +56,9 @@
 /// that this router holds.
 class DemandPlanner {
  public:
-  explicit DemandPlanner(core::DomainId own_domain) : own_domain(own_domain) {}
+  /// `rotation_seed` differs between routers, so that they do not all choose the same shards.
+  DemandPlanner(core::DomainId own_domain, std::uint64_t rotation_seed)
+      : own_domain(own_domain), rotation_seed(rotation_seed) {}
 
   /// Replaces the shards of one upstream. Shards of domains that the upstream must not be reached
   /// from have to be left out.
@@ -125,6 +130,7 @@
   void Answered(Link& link, const core::RouterIdentity& sender, core::TimePoint now);
 
   core::DomainId own_domain;
+  std::uint64_t rotation_seed;
   std::map<core::UpstreamId, Pool> pools;
   std::map<core::ShardIdentity, Link> links;
   /// Shard of each held grant.
--- a/tests/libraries/scheduling/entry_test.cc
+++ b/tests/libraries/scheduling/entry_test.cc
@@ -149,7 +149,7 @@
   core::TimePoint now{seconds(100)};
   std::uint64_t next_id = 1;
   EntryQueues queues;
-  DemandPlanner planner{core::DomainId{1}};
+  DemandPlanner planner{core::DomainId{1}, 1};
 };
 
 // Guards against latency added to a lone request, and against demand for it at many allocators.
--- a/tests/libraries/scheduling/fleet.cc
+++ b/tests/libraries/scheduling/fleet.cc
@@ -60,7 +60,8 @@
     shares.push_back({WorkspaceOf(workspace), this->options.shares[workspace]});
   }
   node->ledger->SetShares(shares);
-  node->planner = std::make_unique<DemandPlanner>(DomainOf(node->domain));
+  node->planner =
+      std::make_unique<DemandPlanner>(DomainOf(node->domain), node->identity.incarnation);
   node->local_service.resize(this->options.shares.size());
   node->load.resize(this->options.shares.size());
   node->queued.resize(this->options.shares.size());
