--- a/services/pomelospard/admin_handler.cc
+++ b/services/pomelospard/admin_handler.cc
@@ -43,10 +43,10 @@
 
 http::HttpResponse ResultResponse(const core::Result<void>& result) {
   if (result) {
-    return JsonResponse(200, {{"done", true}});
+    return JsonResponse(200, {{"message", "done"}});
   }
   return JsonErrorResponse(core::Is(result.error(), core::ErrorKind::kNotFound) ? 404 : 500,
-                       result.error().message);
+                           result.error().message);
 }
 
 http::HttpResponse MoveRunner(AdminServices& services, const http::HttpRequest& request,
@@ -75,22 +75,21 @@
   const auto block_platform = body.value("block_platform", nlohmann::json(false));
   services.transport.BlockPeers(std::move(blocked));
   services.faults.block_platform = block_platform.is_boolean() && block_platform.get<bool>();
-  return JsonResponse(200, {{"done", true}});
+  return JsonResponse(200, {{"message", "done"}});
 }
 
 http::HttpResponse Explain(AdminServices& services, const std::string& id) {
   const auto* record = services.board.recent.Find(id);
   if (record == nullptr) {
-    return JsonErrorResponse(404,
-                         "this router does not know the request; ask the router that answered it, "
-                         "which keeps its latest 2,000 requests");
+    return JsonErrorResponse(
+        404,
+        "this router does not know the request; ask the router that answered it, "
+        "which keeps its latest 2,000 requests");
   }
   return JsonResponse(200, RequestView(*record));
 }
 
-bool IsView(std::string_view path) {
-  return path == "/v1/workspaces" || path == "/v1/upstreams";
-}
+bool IsView(std::string_view path) { return path == "/v1/workspaces" || path == "/v1/upstreams"; }
 
 http::HttpResponse ServeView(AdminServices& services, const http::HttpRequest& request) {
   const auto path = request.path();
@@ -132,7 +131,7 @@
   }
   if (request.method == "DELETE" && path.starts_with("/v1/quarantine/")) {
     ClearQuarantine(services.board, Tail(request, "/v1/quarantine/"));
-    return JsonResponse(200, {{"done", true}});
+    return JsonResponse(200, {{"message", "done"}});
   }
   return JsonErrorResponse(404, "no such action; docs/admin_api.md lists them");
 }
@@ -186,8 +185,7 @@
   // with co_await, so each response is a variable of its own.
   http::HttpResponse response;
   if (!HasToken(services, request)) {
-    response =
-        JsonErrorResponse(401, "send the operator's token as Authorization: Bearer TOKEN");
+    response = JsonErrorResponse(401, "send the operator's token as Authorization: Bearer TOKEN");
   } else if (request.path().starts_with("/v1/configuration")) {
     response = co_await ServeConfigurationRequest(services.configuration, request);
   } else if (request.method == "GET") {
--- a/services/pomelospard/admin_views.cc
+++ b/services/pomelospard/admin_views.cc
@@ -1,7 +1,6 @@
 #include "services/pomelospard/admin_views.h"
 
 #include <algorithm>
-#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "libraries/scheduling/fairness_bound.h"
@@ -45,7 +44,7 @@
   const auto reason =
       board.notices->UnusableReason(runner.address, runner.incarnation, board.clock.now());
   if (!reason) {
-    return "usable";
+    return "live";
   }
   switch (*reason) {
     case wire::NOTICE_RUNNER_LEAVING:
@@ -69,13 +68,17 @@
 
 Json StatusView(const Blackboard& board) {
   Json view;
-  view["router"] = board.self.address;
+  view["address"] = board.self.address;
   view["incarnation"] = board.self.incarnation;
   view["failure_domain"] = board.settings.failure_domain;
   view["region"] = board.settings.region;
   view["lifecycle"] = LifecycleName(board.lifecycle);
+  view["ready"] = board.lifecycle == Lifecycle::kServing;
+  view["leaving"] = board.lifecycle == Lifecycle::kDraining;
+  view["platform_reachable"] = board.platform_reachable;
+  view["uptime_seconds"] = std::chrono::duration<double>(board.clock.now() - board.started).count();
   view["generation"] = board.configuration != nullptr ? board.configuration->generation : 0;
-  view["live_members"] = board.members->LiveMembers().size() + 1;
+  view["members"] = board.members->LiveMembers().size() + 1;
   view["running_requests"] = board.running.size();
   view["held_grants"] = board.planner->held_grants();
   view["allocated_shards"] = board.first_of.size();
@@ -91,33 +94,38 @@
 }
 
 Json WorkspacesView(const Blackboard& board) {
-  Json rows = Json::array();
-  double lowest = std::numeric_limits<double>::infinity();
+  std::unordered_map<core::WorkspaceId, std::size_t> running;
+  for (const auto& [id, request] : board.running) {
+    ++running[request.workspace];
+  }
   double highest = 0.0;
   for (const auto& workspace : board.configuration->workspaces) {
-    const auto backlog = board.queues.QueuedRequests(workspace.id);
-    const auto normalised = board.ledger->NormalisedService(workspace.id);
-    if (backlog > 0) {
-      lowest = std::min(lowest, normalised);
-      highest = std::max(highest, normalised);
+    if (board.queues.QueuedRequests(workspace.id) > 0) {
+      highest = std::max(highest, board.ledger->NormalisedService(workspace.id));
     }
+  }
+  Json rows = Json::array();
+  for (const auto& workspace : board.configuration->workspaces) {
+    const auto normalised = board.ledger->NormalisedService(workspace.id);
     rows.push_back({{"name", workspace.name},
                     {"share", workspace.share},
                     {"service", board.ledger->Total(workspace.id)},
                     {"normalised_service", normalised},
-                    {"queued_requests", backlog},
-                    {"queued_bytes", board.queues.QueuedBytes(workspace.id)}});
+                    {"queued", board.queues.QueuedRequests(workspace.id)},
+                    {"queued_bytes", board.queues.QueuedBytes(workspace.id)},
+                    {"running", running[workspace.id]},
+                    {"gap", std::max(0.0, highest - normalised)}});
   }
-  Json view;
-  view["generation"] = board.configuration->generation;
-  // Between the workspaces that wait at this router.
-  view["gap"] = std::max(0.0, highest - lowest);
-  view["bound"] = scheduling::FairnessBound(FairnessInputsOf(board));
-  view["workspaces"] = std::move(rows);
-  return view;
+  return {{"generation", board.configuration->generation},
+          {"bound", scheduling::FairnessBound(FairnessInputsOf(board))},
+          {"workspaces", std::move(rows)}};
 }
 
 Json UpstreamsView(const Blackboard& board) {
+  std::unordered_map<core::RunnerId, std::size_t> running;
+  for (const auto& [id, request] : board.running) {
+    ++running[request.runner];
+  }
   Json rows = Json::array();
   for (const auto& upstream : board.configuration->upstreams) {
     Json runners = Json::array();
@@ -126,6 +134,7 @@
         runners.push_back({{"address", runner->address},
                            {"domain", NameOf(board.names.domains, domain)},
                            {"slots", runner->slots},
+                           {"running", running[runner->id]},
                            {"incarnation", runner->incarnation},
                            {"state", RunnerState(board, *runner)}});
       }
@@ -158,25 +167,30 @@
 Json QuarantineView(const Blackboard& board) {
   Json rows = Json::array();
   for (const auto& fingerprint : board.crashes->Quarantined()) {
-    rows.push_back({{"fingerprint", fingerprint}});
+    const auto remaining = board.notices->QuarantineOf(fingerprint, board.clock.now());
+    Json row = {{"fingerprint", fingerprint}};
+    if (remaining) {
+      row["remaining_seconds"] = std::chrono::duration<double>(*remaining).count();
+    }
+    rows.push_back(std::move(row));
   }
-  return {{"quarantined", std::move(rows)}, {"suspects", board.crashes->suspects()}};
+  return {{"quarantine", std::move(rows)}, {"suspects", board.crashes->suspects()}};
 }
 
 Json RequestView(const RequestRecord& record) {
-  Json steps = Json::array();
+  Json events = Json::array();
   for (const auto& step : record.steps) {
     const auto elapsed = std::chrono::duration<double, std::milli>(step.elapsed).count();
-    steps.push_back({{"milliseconds", elapsed}, {"text", step.text}});
+    events.push_back({{"at_milliseconds", elapsed}, {"event", step.text}});
   }
   return {{"id", record.id},
           {"workspace", record.workspace},
           {"class", record.request_class},
           {"upstream", record.upstream},
           {"generation", record.generation},
-          {"outcome", record.outcome.empty() ? "running" : record.outcome},
+          {"state", record.outcome.empty() ? "running" : record.outcome},
           {"status", record.status},
-          {"steps", std::move(steps)}};
+          {"events", std::move(events)}};
 }
 
 }  // namespace pomelospar::daemon
--- a/services/pomelospard/blackboard.h
+++ b/services/pomelospard/blackboard.h
@@ -54,6 +54,7 @@
 /// A request of this router that a runner is working on.
 struct RunningRequest {
   core::RunnerId runner{};
+  core::WorkspaceId workspace{};
   admission::Fingerprint fingerprint;
 };
 
@@ -73,6 +74,7 @@
   core::Clock clock;
   core::Log* log = nullptr;
   core::RouterIdentity self;
+  core::TimePoint started{};
   core::DomainId domain{};
   std::mt19937_64 random;
 
@@ -92,6 +94,8 @@
   // Written by the runner controller.
   runners::RunnerTable runners;
   std::uint64_t instance_list_version = 0;
+  /// Whether the last read of the instance list succeeded.
+  bool platform_reachable = false;
   std::set<std::string> listed_routers;
 
   // Written by the scheduling controller.
--- a/services/pomelospard/configuration_requests.cc
+++ b/services/pomelospard/configuration_requests.cc
@@ -22,7 +22,7 @@
 using Json = nlohmann::ordered_json;
 
 constexpr std::uint32_t kDefaultHistory = 20;
-constexpr std::uint32_t kMaximumHistory = 1000;
+constexpr std::uint32_t kMaximumHistory = 100;
 
 /// Waits for a callback that runs once on the I/O thread.
 template <typename T>
@@ -69,11 +69,9 @@
                                       std::string file) {
   Pending<Parsed> pending(co_await asio::this_coro::executor);
   auto result = std::make_shared<Parsed>();
-  services.offload(
-      [result, document = std::move(document), file = std::move(file)] {
-        *result = ParseSections(document, file);
-      },
-      [result, callback = pending.Callback()] { callback(std::move(*result)); });
+  services.offload([result, document = std::move(document),
+                    file = std::move(file)] { *result = ParseSections(document, file); },
+                   [result, callback = pending.Callback()] { callback(std::move(*result)); });
   co_return co_await pending.Wait();
 }
 
@@ -110,7 +108,7 @@
                     {"message", diagnostic.message},
                     {"remedy", diagnostic.remedy}});
   }
-  return JsonResponse(422, {{"error", "the file has errors; nothing was applied"},
+  return JsonResponse(422, {{"message", "the file has errors; nothing was applied"},
                             {"diagnostics", std::move(rows)}});
 }
 
@@ -123,7 +121,7 @@
     body["current_generation"] = result.generation;
   }
   body["changes"] = result.changes;
-  body[status == 200 ? "message" : "error"] = result.message;
+  body["message"] = result.message;
   return JsonResponse(status, body);
 }
 
@@ -178,9 +176,9 @@
                        {"operator", record.operator_name},
                        {"message", record.message},
                        {"apply_identifier", record.apply_identifier},
-                       {"changes", record.summary}});
+                       {"summary", record.summary}});
   }
-  co_return JsonResponse(200, {{"entries", std::move(entries)}});
+  co_return JsonResponse(200, {{"changes", std::move(entries)}});
 }
 
 http::HttpResponse InForce(const ConfigurationServices& services) {
--- a/services/pomelospard/json_response.cc
+++ b/services/pomelospard/json_response.cc
@@ -13,7 +13,7 @@
 }
 
 http::HttpResponse JsonErrorResponse(unsigned status, std::string_view message) {
-  return JsonResponse(status, {{"error", message}});
+  return JsonResponse(status, {{"message", message}});
 }
 
 }  // namespace pomelospar::daemon
--- a/services/pomelospard/json_response.h
+++ b/services/pomelospard/json_response.h
@@ -11,7 +11,7 @@
 /// A response with a JSON body; bytes that are not UTF-8 are replaced.
 http::HttpResponse JsonResponse(unsigned status, const nlohmann::ordered_json& body);
 
-/// `{"error": message}`.
+/// `{"message": message}`.
 http::HttpResponse JsonErrorResponse(unsigned status, std::string_view message);
 
 }  // namespace pomelospar::daemon
--- a/tests/stand_ins/platform_stand_in/platform_service.cc
+++ b/tests/stand_ins/platform_stand_in/platform_service.cc
@@ -95,8 +95,16 @@
       co_return;
     }
     reply = this->HandleService(request);
-    if (is_write && this->lose_responses > 0) {
+    bool lose_any = false;
+    const bool lose_commit =
+        this->lose_commit_responses > 0 && request.path() == "/v1/table/commit";
+    if (lose_commit) {
+      --this->lose_commit_responses;
+    } else if (is_write && this->lose_responses > 0) {
       --this->lose_responses;
+      lose_any = true;
+    }
+    if (lose_commit || lose_any) {
       ++this->counters["lost_responses"];
       exchange.Abort();
       co_return;
@@ -232,6 +240,7 @@
   try {
     this->outage = body.value("outage", this->outage);
     this->lose_responses = body.value("lose_responses", this->lose_responses);
+    this->lose_commit_responses = body.value("lose_commit_responses", this->lose_commit_responses);
     this->lose_before_write = body.value("lose_before_write", this->lose_before_write);
     this->options.delay =
         std::chrono::milliseconds(body.value("delay_ms", this->options.delay.count()));
--- a/tests/stand_ins/platform_stand_in/platform_service.h
+++ b/tests/stand_ins/platform_stand_in/platform_service.h
@@ -39,7 +39,8 @@
 
 /// The platform of docs/platform.md, in memory. `POST /control` takes
 /// `{"outage":"none"|"reject"|"hang"|"close", "delay_ms":N, "lose_responses":N,
-///   "lose_before_write":N, "cut_off_domains":["d"], "instance_list_lag_ms":N}`; fields that are
+///   "lose_commit_responses":N, "lose_before_write":N, "cut_off_domains":["d"],
+///   "instance_list_lag_ms":N}`; fields that are
 /// absent stay as they are. `lose_responses` closes the connection of the next N commits and object
 /// writes after they took effect, `lose_before_write` before.
 class PlatformService {
@@ -76,6 +77,8 @@
 
   std::string outage = "none";
   std::uint64_t lose_responses = 0;
+  /// Like `lose_responses`, for commits alone.
+  std::uint64_t lose_commit_responses = 0;
   std::uint64_t lose_before_write = 0;
   std::set<std::string> cut_off_domains;
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -62,7 +62,7 @@
     # Guards against an operator who applies twice because the first answer was lost.
     def test_lost_answer_is_settled_by_the_apply_identifier(self):
         base = self.generation(self.routers[0])
-        self.fleet.platform_faults(lose_responses=1)
+        self.fleet.platform_faults(lose_commit_responses=1)
         identifier = os.urandom(8).hex()
         status, answer = self.fleet.apply(self.document(3.0), apply_identifier=identifier)
         self.assertIn(status, (200, 504), answer)
@@ -70,7 +70,7 @@
         self.assertEqual(status, 200, again)
         f.wait_until(lambda: self.generation(self.routers[1]) > base, 3, "in force")
         history = self.routers[1].admin_call("GET", "/v1/configuration/history?limit=10")[1]
-        applied = [e for e in history["entries"] if e["apply_identifier"] == identifier]
+        applied = [e for e in history["changes"] if e["apply_identifier"] == identifier]
         self.assertEqual(len(applied), 1, history)
 
     # Guards against a router that reverts, or never becomes ready, when it restarts without state
--- a/tests/system/test_crashing_request.py
+++ b/tests/system/test_crashing_request.py
@@ -81,14 +81,14 @@
         # The quarantine is known everywhere and ends by an operator on any router.
         status, listed = self.routers[1].admin_call("GET", "/v1/quarantine")
         self.assertEqual(status, 200)
-        fingerprints = [entry["fingerprint"] for entry in listed["quarantined"]]
+        fingerprints = [entry["fingerprint"] for entry in listed["quarantine"]]
         self.assertEqual(len(fingerprints), 1, listed)
         status, _ = self.routers[2].admin_call("DELETE", "/v1/quarantine/" + fingerprints[0])
         self.assertEqual(status, 200)
 
         def cleared():
             listed = self.routers[0].admin_call("GET", "/v1/quarantine")[1]
-            return listed["quarantined"] == []
+            return listed["quarantine"] == []
 
         f.wait_until(cleared, 3, "the quarantine is cleared on every router")
 
--- a/tests/system/test_request_path.py
+++ b/tests/system/test_request_path.py
@@ -154,8 +154,8 @@
         _, headers, _ = router.post("/v1/chat/completions", f.chat_body("x"), "atlas")
         status, record = router.admin_call("GET", "/v1/requests/" + headers["pomelospar-request-id"])
         self.assertEqual(status, 200)
-        self.assertEqual(record["outcome"], "answered")
-        self.assertTrue(any("runner 127.0.0.1" in step["text"] for step in record["steps"]))
+        self.assertEqual(record["state"], "answered")
+        self.assertTrue(any("runner 127.0.0.1" in event["event"] for event in record["events"]))
 
 
 if __name__ == "__main__":
--- a/tests/system/test_together.py
+++ b/tests/system/test_together.py
@@ -47,7 +47,8 @@
     def heal_cuts(self):
         for router in self.routers():
             if router not in self.paused:
-                router.cut([])
+                # A router that is just starting does not listen yet.
+                f.wait_until(lambda r=router: r.cut([]) is None, 10, f"{router.name} takes a call")
 
     def stop_gracefully(self):
         running = [r for r in self.routers() if r not in self.paused]
