--- a/tests/libraries/scheduling/fairness_test.cc
+++ b/tests/libraries/scheduling/fairness_test.cc
@@ -185,6 +185,24 @@
   EXPECT_GE(fleet.Utilisation(), kLeastUtilisation);
 }
 
+// Guards against slots that stay lost, or service that is not counted, after messages were lost.
+TEST(FairnessTest, LostMessages) {
+  const FleetOptions options;
+  Fleet fleet(options);
+  Start(fleet, options);
+  fleet.SetLoss(0.02);
+  fleet.Run(seconds(60));
+  Record("while messages are lost", fleet, FairnessBound(fleet.Inputs()));
+  EXPECT_LE(fleet.gap(), FairnessBound(fleet.Inputs()));
+  fleet.SetLoss(0);
+  fleet.Run(seconds(5));
+  fleet.ResetMeters(All(options));
+  fleet.Run(seconds(60));
+  Record("after messages were lost", fleet, FairnessBound(fleet.Inputs()));
+  EXPECT_LE(fleet.gap(), FairnessBound(fleet.Inputs()));
+  EXPECT_GE(fleet.Utilisation(), kLeastUtilisation);
+}
+
 // Guards against a bound that takes the estimate error E for the uncharged cost U: here estimates
 // are exact, but requests are charged at their end and fill all slots when the second workspace
 // becomes backlogged. All slots become free together, so this also guards against slots that go to
--- a/tests/libraries/scheduling/fleet.cc
+++ b/tests/libraries/scheduling/fleet.cc
@@ -199,6 +199,9 @@
   core::Duration delay{};
   if (target != &sender) {
     ++this->sent_messages;
+    if (this->loss > 0 && std::uniform_real_distribution<double>(0, 1)(this->random) < this->loss) {
+      return;
+    }
     delay = target->domain == sender.domain ? this->options.delay / 5 : this->options.delay;
   }
   this->At(this->clock.now() + delay, [this, receiver, deliver = std::move(deliver)] {
--- a/tests/libraries/scheduling/fleet.h
+++ b/tests/libraries/scheduling/fleet.h
@@ -70,6 +70,8 @@
   void SetRunner(std::size_t runner, bool alive);
   /// Makes the router take all others for dead for its own shards, which gives two allocators.
   void SetAlone(std::size_t router, bool alone);
+  /// Fraction of messages between routers that are lost.
+  void SetLoss(double loss) { this->loss = loss; }
 
   /// Service charged so far, cost units over share.
   double Normalised(std::size_t workspace) const;
@@ -148,6 +150,7 @@
   std::uint64_t event_order = 0;
   std::uint64_t next_request = 1;
   std::uint64_t sent_messages = 0;
+  double loss = 0.0;
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<std::unique_ptr<Node>> former_nodes;
   std::vector<RunnerInfo> runners;
