--- a/libraries/scheduling/entry_queues.cc
+++ b/libraries/scheduling/entry_queues.cc
@@ -1,6 +1,7 @@
 #include "libraries/scheduling/entry_queues.h"
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 #include <cmath>
 
@@ -120,6 +121,7 @@
 }
 
 void EntryQueues::Insert(const QueuedRequest& request, bool at_head) {
+  assert(!this->positions.contains(request.id));
   auto& queue = this->queues[request.key];
   const auto [entry, is_new] = queue.callers.try_emplace(request.caller);
   if (is_new) {
--- a/libraries/scheduling/entry_queues.h
+++ b/libraries/scheduling/entry_queues.h
@@ -69,12 +69,12 @@
   /// The earliest deadline of a waiting request.
   std::optional<core::TimePoint> NextDeadline() const;
 
-  /// The time after which a request refused now is likely to be served; between one second and
-  /// `kLongestRetryAfter`.
+  /// The time after which a request refused now is likely to be served, from the depth of the queue
+  /// and the recent service rate; between one second and one minute.
   std::chrono::seconds RetryAfter(const QueueKey& key, core::TimePoint now) const;
 
   std::size_t Depth(const QueueKey& key) const;
-  /// The request that waits longest, by position in the queue of `key`. The queue is not empty.
+  /// Arrival of the request that waits longest. The queue must not be empty.
   core::TimePoint OldestEnqueued(const QueueKey& key) const;
   /// Mean estimated cost of the waiting requests, cost units.
   double MeanEstimatedCost(const QueueKey& key) const;
@@ -102,7 +102,7 @@
     std::set<std::pair<core::TimePoint, std::uint64_t>> by_age;
     std::size_t depth = 0;
     double estimated_cost = 0.0;
-    /// Requests served a second, averaged over about `kRateWindow`.
+    /// Requests served a second, averaged over about 10 s.
     double service_rate = 0.0;
     core::TimePoint last_pop{};
   };
--- a/libraries/scheduling/slot_allocator.h
+++ b/libraries/scheduling/slot_allocator.h
@@ -196,7 +196,7 @@
   void RaiseOffsets();
   WorkspaceState* LowestWorkspace();
   void Issue(WorkspaceState& workspace, core::TimePoint now, AllocatorOutput& output);
-  /// Ends a grant; returns its row, which may have become unused.
+  /// Ends a grant and drops its row if that became unused. `charged_cost` corrects the class order.
   void EndGrant(std::uint64_t grant, double charged_cost);
   void RefreshRunner(core::RunnerId id, RunnerState& runner);
   std::uint32_t UsableSlots(const RunnerState& runner) const;
