--- a/tests/system/test_fairness.py
+++ b/tests/system/test_fairness.py
@@ -14,8 +14,8 @@
 RUNNERS = 3
 TOKENS = 20
 # Cost of the largest request and service rate of a busy slot, as the configuration declares them:
-# one cost unit a token, 5 ms a token and 20 ms to the first one.
-LARGEST_COST = 100.0
+# one cost unit a token, at most twice TOKENS, 5 ms a token.
+LARGEST_COST = 2.0 * TOKENS
 SLOT_RATE = 200.0
 
 
@@ -107,7 +107,8 @@
         self.start_skewed_backlogs()
         time.sleep(3)
         before = self.service()
-        busy = self.busy_share(6)
+        # Long enough that service by queue length would exceed the bound four times over.
+        busy = self.busy_share(12)
         after = self.service()
         gap, received = self.gap(before, after)
         print(f"gap {gap:.0f}, bound {self.bound():.0f}, busy {busy:.3f}, {received}", flush=True)
@@ -135,7 +136,7 @@
         # (probes of dead members every 5 s) and the credit (two bounds) has been served.
         time.sleep(12)
         before = self.service()
-        time.sleep(5)
+        time.sleep(12)
         after = self.service()
         gap, received = self.gap(before, after)
         print(f"gap {gap:.0f}, bound {self.bound():.0f}, {received}", flush=True)
