Daemon: Wait for crash verdicts, refuse wrong types and too costly requests

A request under a pending verdict is not dispatched, and two suspects of one router never run at once. Fields of a wrong type in an apply read as absent before, so an expectation that was not understood applied without one (test_wrong_types_are_refused). A request above limits.largest_request_cost is refused, because the fairness bound holds only up to it.

--- a/services/pomelospard/configuration_requests.cc
+++ b/services/pomelospard/configuration_requests.cc
@@ -88,6 +88,25 @@
   return found->get<std::uint64_t>();
 }
 
+// The first field that has another type than the admin API gives it, or nothing. A wrong type must
+// not read as absent: an expectation that is not understood would apply without one.
+std::optional<std::string> WrongField(const nlohmann::json& body) {
+  for (const auto* name : {"document", "file", "apply_identifier", "operator", "message"}) {
+    if (body.contains(name) && !body[name].is_string()) {
+      return name;
+    }
+  }
+  for (const auto* name : {"expect_generation", "generation"}) {
+    if (body.contains(name) && !body[name].is_null() && !body[name].is_number_unsigned()) {
+      return name;
+    }
+  }
+  if (body.contains("dry_run") && !body["dry_run"].is_boolean()) {
+    return "dry_run";
+  }
+  return std::nullopt;
+}
+
 configuration::ApplyRequest RequestFrom(const nlohmann::json& body) {
   configuration::ApplyRequest request;
   request.expected_generation = NumberField(body, "expect_generation");
@@ -214,6 +233,11 @@
   if (!body.is_object()) {
     co_return JsonErrorResponse(400, "the body is not a JSON object");
   }
+  if (const auto wrong = WrongField(body)) {
+    co_return JsonErrorResponse(400, "the field \"" + *wrong +
+                                         "\" has a wrong type; "
+                                         "docs/admin_api.md lists the types");
+  }
   if (apply) {
     co_return co_await Apply(services, body);
   }
--- a/services/pomelospard/daemon.cc
+++ b/services/pomelospard/daemon.cc
@@ -26,7 +26,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Demand spreads to further shards after 5 ms, so the planner runs that often while requests wait.
+// Demand spreads to further shards after 5 ms, and an allocator holds a free slot for at most 5 ms
+// for the workspace that is first in order.
 constexpr core::Duration kBusyTick = milliseconds(5);
 constexpr core::Duration kIdleTick = milliseconds(20);
 constexpr core::Duration kSlowTick = milliseconds(100);
@@ -206,7 +207,11 @@
       std::mt19937_64(this->board->random()));
   this->applier = std::make_unique<configuration::ConfigurationApplier>(
       this->store, *this->sync, this->platform, this->board->clock);
-  this->hooks.on_generation = [this](const core::RouterIdentity& peer, std::uint64_t generation) {
+  this->hooks.peers.on_gone = [this](const core::RouterIdentity& peer) {
+    this->sync->OnPeerGone(peer.address);
+  };
+  this->hooks.peers.on_generation = [this](const core::RouterIdentity& peer,
+                                           std::uint64_t generation) {
     this->sync->OnPeerGeneration(peer.address, generation);
   };
   this->hooks.on_request = [this](const core::RouterIdentity& peer,
@@ -305,8 +310,8 @@
   this->log->Write(core::LogLevel::kInfo, "configuration in force",
                    {{"generation", board.configuration->generation}});
   if (committed_here) {
-    TickMembership(board, this->hooks.on_generation);
-    ApplyMembership(board, board.members->PingAll(board.clock.now()), this->hooks.on_generation);
+    TickMembership(board, this->hooks.peers);
+    ApplyMembership(board, board.members->PingAll(board.clock.now()), this->hooks.peers);
   }
 }
 
@@ -328,7 +333,7 @@
 
 asio::awaitable<void> Daemon::RunTicks() {
   while (true) {
-    const bool busy = !this->board->waiting.empty() || this->claims->pending() > 0;
+    const bool busy = HasSchedulingWork(*this->board) || this->claims->pending() > 0;
     co_await Sleep(busy ? kBusyTick : kIdleTick);
     this->Tick();
   }
@@ -343,7 +348,7 @@
     return;
   }
   this->next_slow_tick = now + kSlowTick;
-  TickMembership(board, this->hooks.on_generation);
+  TickMembership(board, this->hooks.peers);
   this->sync->Tick(now);
   this->applier->Tick(now);
   TickLedger(board);
@@ -433,7 +438,7 @@
   this->log->Write(
       core::LogLevel::kInfo, "stopping; finishing accepted requests",
       {{"requests", static_cast<std::uint64_t>(this->caller_server->active_exchanges())}});
-  ApplyMembership(board, board.members->Leave(board.clock.now()), this->hooks.on_generation);
+  ApplyMembership(board, board.members->Leave(board.clock.now()), this->hooks.peers);
   this->caller_server->StopAccepting();
   while ((this->caller_server->active_exchanges() > 0 || this->claims->pending() > 0) &&
          board.clock.now() < deadline) {
--- a/services/pomelospard/membership_controller.cc
+++ b/services/pomelospard/membership_controller.cc
@@ -24,8 +24,7 @@
   board.shards_outdated = true;
 }
 
-void HandleEvent(Blackboard& board, const membership::MemberEvent& event,
-                 const GenerationSeen& on_generation) {
+void HandleEvent(Blackboard& board, const membership::MemberEvent& event, const PeerHooks& hooks) {
   switch (event.kind) {
     case membership::EventKind::kJoined:
       LogEvent(board, "router joined", event.router);
@@ -39,13 +38,14 @@
     case membership::EventKind::kDied:
       LogEvent(board, "router died", event.router);
       ForgetRouter(board, event.router);
+      hooks.on_gone(event.router);
       return;
     case membership::EventKind::kLeaving:
       LogEvent(board, "router is leaving", event.router);
       board.shards_outdated = true;
       return;
     case membership::EventKind::kGenerationSeen:
-      on_generation(event.router, event.value);
+      hooks.on_generation(event.router, event.value);
       return;
     case membership::EventKind::kNoticeDigestSeen:
       ReconcileNotices(board, event.router);
@@ -55,21 +55,20 @@
 
 }  // namespace
 
-void ApplyMembership(Blackboard& board, membership::Output output,
-                     const GenerationSeen& on_generation) {
+void ApplyMembership(Blackboard& board, membership::Output output, const PeerHooks& hooks) {
   for (auto& message : output.messages) {
     board.outbox->Add(message.receiver, std::move(message.message));
   }
   for (const auto& event : output.events) {
-    HandleEvent(board, event, on_generation);
+    HandleEvent(board, event, hooks);
   }
 }
 
-void TickMembership(Blackboard& board, const GenerationSeen& on_generation) {
+void TickMembership(Blackboard& board, const PeerHooks& hooks) {
   const auto now = board.clock.now();
   const auto generation = board.configuration != nullptr ? board.configuration->generation : 0;
   board.members->SetLocalState(generation, board.notices->Digest(now));
-  ApplyMembership(board, board.members->Tick(now), on_generation);
+  ApplyMembership(board, board.members->Tick(now), hooks);
 }
 
 }  // namespace pomelospar::daemon
--- a/services/pomelospard/membership_controller.h
+++ b/services/pomelospard/membership_controller.h
@@ -8,15 +8,19 @@
 /// Which routers are live, and what follows from a change.
 namespace pomelospar::daemon {
 
-/// Called when a peer shows a configuration generation above the own one.
-using GenerationSeen = std::function<void(const core::RouterIdentity& peer, std::uint64_t)>;
+/// What the synchronisation of the configuration wants to know of peers.
+struct PeerHooks {
+  /// A peer shows a configuration generation above the own one.
+  std::function<void(const core::RouterIdentity& peer, std::uint64_t generation)> on_generation;
+  /// A peer died.
+  std::function<void(const core::RouterIdentity& peer)> on_gone;
+};
 
 /// Sends the messages and acts on the events of the member table.
-void ApplyMembership(Blackboard& board, membership::Output output,
-                     const GenerationSeen& on_generation);
+void ApplyMembership(Blackboard& board, membership::Output output, const PeerHooks& hooks);
 
 /// Refreshes what probes tell about this router and runs the timers of the member table.
-void TickMembership(Blackboard& board, const GenerationSeen& on_generation);
+void TickMembership(Blackboard& board, const PeerHooks& hooks);
 
 }  // namespace pomelospar::daemon
 
--- a/services/pomelospard/message_dispatcher.cc
+++ b/services/pomelospard/message_dispatcher.cc
@@ -9,7 +9,7 @@
                      const wire::Message& message, const ConfigurationHooks& configuration) {
   if (sender != board.self) {
     ApplyMembership(board, board.members->Handle(sender, message, board.clock.now()),
-                    configuration.on_generation);
+                    configuration.peers);
   }
   switch (message.kind_case()) {
     case wire::Message::kPing:
--- a/services/pomelospard/message_dispatcher.h
+++ b/services/pomelospard/message_dispatcher.h
@@ -8,7 +8,7 @@
 
 /// Messages about the configuration, which belong to its synchronisation.
 struct ConfigurationHooks {
-  GenerationSeen on_generation;
+  PeerHooks peers;
   std::function<void(const core::RouterIdentity&, const wire::ConfigurationRequest&)> on_request;
   std::function<void(const core::RouterIdentity&, const wire::ConfigurationChanges&)> on_changes;
 };
--- a/services/pomelospard/request_flow.cc
+++ b/services/pomelospard/request_flow.cc
@@ -26,6 +26,9 @@
 constexpr milliseconds kCrashProbeDelay = milliseconds(20);
 constexpr milliseconds kCrashProbeTimeout = milliseconds(200);
 
+// A verdict about a crash takes up to 500 ms, until the reports of other routers have arrived.
+constexpr milliseconds kVerdictPoll = milliseconds(50);
+
 constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
 constexpr std::string_view kResumeHeader = "Resume-From";
 constexpr std::string_view kLeavingHeader = "Pomelospar-Leaving";
@@ -94,6 +97,9 @@
   if (!this->resolution.repeatable && !co_await this->BeginClaim()) {
     co_return;
   }
+  if (!co_await this->WaitForVerdict()) {
+    co_return;
+  }
   this->queued = this->MakeQueued();
   for (bool requeue = false;; requeue = true) {
     const auto slot = co_await this->WaitForSlot(requeue);
@@ -141,6 +147,17 @@
     return RouterError{.status = 400, .code = "malformed_body", .message = peeked.error().message};
   }
   const auto& units = this->resolution.upstream->cost;
+  const auto largest =
+      admission::CostOf(units, this->body.input_tokens, this->body.maximum_tokens.value_or(0));
+  if (is_model && largest > this->configuration->limits.largest_request_cost) {
+    // The fairness bound holds for requests up to the declared cost.
+    return RouterError{
+        .status = 400,
+        .code = "request_too_costly",
+        .message = fmt::format("the request may cost {:.0f} units, and limits.largest_request_cost "
+                               "is {:.0f}; send a shorter prompt or a lower max_tokens",
+                               largest, this->configuration->limits.largest_request_cost)};
+  }
   this->caller = admission::CallerName(HeaderOrEmpty(request, admission::kCallerHeader),
                                        this->body.user, request.remote_address);
   this->estimated_cost = this->board.estimator.Estimate(
@@ -175,6 +192,37 @@
       .outcome = this->any_byte_sent ? Outcome::kUnknown : Outcome::kNotRun};
 }
 
+asio::awaitable<bool> RequestFlow::WaitForVerdict() {
+  using admission::CrashVerdict;
+  const auto deadline = this->received + this->configuration->limits.queue_timeout;
+  while (this->board.clock.now() < deadline) {
+    const auto verdict = this->board.crashes->Judge(this->board.clock.now(), this->fingerprint);
+    const bool wait = verdict == CrashVerdict::kPending ||
+                      (verdict == CrashVerdict::kRunAlone && this->OtherSuspectRuns());
+    if (!wait) {
+      break;
+    }
+    co_await Sleep(kVerdictPoll);
+  }
+  if (auto error = this->JudgeFingerprint()) {
+    co_await this->Respond(std::move(*error));
+    co_return false;
+  }
+  co_return true;
+}
+
+// Two suspects of this router never run at once, so that an innocent one is not counted again in
+// the next crash of the other.
+bool RequestFlow::OtherSuspectRuns() const {
+  for (const auto& [id, request] : this->board.running) {
+    const bool other = id != this->number && request.fingerprint != this->fingerprint;
+    if (other && this->board.crashes->MustRunAlone(this->board.clock.now(), request.fingerprint)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 asio::awaitable<bool> RequestFlow::BeginClaim() {
   const auto key = this->exchange.request().FindHeader(kIdempotencyHeader);
   if (!key) {
@@ -404,8 +452,7 @@
 }
 
 asio::awaitable<RequestFlow::NextStep> RequestFlow::AfterLoss(const AttemptResult& result) {
-  if (auto error = this->JudgeFingerprint()) {
-    co_await this->Respond(std::move(*error));
+  if (!co_await this->WaitForVerdict()) {
     co_return NextStep::kDone;
   }
   const bool sent = result.end != AttemptEnd::kNotSent;
@@ -434,7 +481,7 @@
   // The verdict needs the reports of other routers about the same crash.
   while (this->board.crashes->Judge(this->board.clock.now(), this->fingerprint) ==
          admission::CrashVerdict::kPending) {
-    co_await Sleep(milliseconds(50));
+    co_await Sleep(kVerdictPoll);
     TickCrashes(this->board);
   }
 }
--- a/services/pomelospard/request_flow.h
+++ b/services/pomelospard/request_flow.h
@@ -43,6 +43,8 @@
   std::optional<RouterError> Admit();
   std::optional<RouterError> JudgeFingerprint() const;
   boost::asio::awaitable<bool> BeginClaim();
+  boost::asio::awaitable<bool> WaitForVerdict();
+  bool OtherSuspectRuns() const;
 
   boost::asio::awaitable<std::optional<GrantedSlot>> WaitForSlot(bool requeue);
   boost::asio::awaitable<NextStep> UseSlot(const GrantedSlot& slot);
--- a/services/pomelospard/scheduling_controller.cc
+++ b/services/pomelospard/scheduling_controller.cc
@@ -327,6 +327,12 @@
   SendPlan(board);
 }
 
+bool HasSchedulingWork(const Blackboard& board) {
+  return !board.waiting.empty() ||
+         std::any_of(board.allocators.begin(), board.allocators.end(),
+                     [](const auto& item) { return !item.second->idle(); });
+}
+
 void TickLedger(Blackboard& board) {
   const auto now = board.clock.now();
   if (now < board.next_report) {
--- a/services/pomelospard/scheduling_controller.h
+++ b/services/pomelospard/scheduling_controller.h
@@ -55,6 +55,10 @@
 /// wait, and about every 50 ms otherwise.
 void TickScheduling(Blackboard& board);
 
+/// Whether requests wait here, or an allocator of this router has demand or grants, so that
+/// `TickScheduling` is due every few milliseconds.
+bool HasSchedulingWork(const Blackboard& board);
+
 /// Sends the service report when it is due, and folds silent incarnations.
 void TickLedger(Blackboard& board);
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -59,6 +59,15 @@
         self.assertTrue(all(d["line"] > 0 and d["remedy"] for d in answer["diagnostics"]))
         self.assertEqual(self.generation(self.routers[0]), base)
 
+    # Guards against an expectation or a dry run of a wrong type that is taken for none.
+    def test_wrong_types_are_refused(self):
+        base = self.generation(self.routers[0])
+        for field, value in (("expect_generation", "1"), ("expect_generation", -1),
+                             ("dry_run", "yes")):
+            status, answer = self.fleet.apply(self.document(8.0), **{field: value})
+            self.assertEqual(status, 400, answer)
+        self.assertEqual(self.generation(self.routers[0]), base)
+
     # Guards against an operator who applies twice because the first answer was lost.
     def test_lost_answer_is_settled_by_the_apply_identifier(self):
         base = self.generation(self.routers[0])
--- a/tests/system/test_request_path.py
+++ b/tests/system/test_request_path.py
@@ -66,6 +66,7 @@
             ("upstream not allowed", 403, "/v1/chat/completions", chat, "desk-only", {}),
             ("class not allowed", 400, "/v1/chat/completions", chat, "atlas",
              {"Pomelospar-Class": "gold"}),
+            ("costs too much", 400, "/v1/chat/completions", f.chat_body("x", 20000), "atlas", {}),
             ("body is no JSON", 400, "/v1/chat/completions", b"{", "atlas", {}),
             ("no idempotency key", 400, "/bookings", {}, "atlas", {}),
             ("body too large", 413, "/orders/1", b"x" * 70000, "atlas", {}),
