--- a/tests/utilities/pomelosparctl/pomelosparctl_test.cc
+++ b/tests/utilities/pomelosparctl/pomelosparctl_test.cc
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #include <array>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -61,7 +62,15 @@
  public:
   explicit AdminServer(std::vector<Exchange> script)
       : script(std::move(script)), thread([this] { this->Serve(); }) {}
-  ~AdminServer() { this->thread.join(); }
+  ~AdminServer() {
+    // Ends the wait for requests that did not come, so that a failing test does not hang.
+    this->stopping = true;
+    asio::ip::tcp::socket socket(this->context);
+    boost::system::error_code ignored;
+    socket.connect(this->acceptor.local_endpoint(), ignored);
+    socket.close(ignored);
+    this->thread.join();
+  }
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
 
@@ -76,6 +85,9 @@
   void Serve() {
     for (const auto& step : this->script) {
       auto socket = this->acceptor.accept();
+      if (this->stopping) {
+        return;
+      }
       boost::beast::flat_buffer buffer;
       http::request<http::string_body> request;
       http::read(socket, buffer, request);
@@ -91,6 +103,7 @@
   }
 
   std::vector<Exchange> script;
+  std::atomic<bool> stopping = false;
   asio::io_context context;
   asio::ip::tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0}};
   std::thread thread;
