--- a/libraries/scheduling/demand_planner.cc
+++ b/libraries/scheduling/demand_planner.cc
@@ -9,8 +9,10 @@
 namespace pomelospar::scheduling {
 namespace {
 
-std::size_t RotationAt(core::TimePoint now) {
-  return static_cast<std::size_t>(now.time_since_epoch() / kFullDemandPeriod);
+/// Where the rotation stands; it moves by one shard in each period.
+std::size_t RotationAt(std::uint64_t seed, core::TimePoint now) {
+  return static_cast<std::size_t>(seed % (1U << 20U)) +
+         static_cast<std::size_t>(now.time_since_epoch() / kFullDemandPeriod);
 }
 
 bool IsSpread(const QueueKey& key, const EntryQueues& queues, core::TimePoint now) {
@@ -84,6 +86,9 @@
 core::TimePoint DemandPlanner::NextPlan(const EntryQueues& queues, core::TimePoint now) const {
   auto next = core::TimePoint::max();
   for (const auto& [shard, link] : this->links) {
+    if (link.candidates.allocators.empty()) {
+      continue;
+    }
     if (link.unanswered_since.has_value()) {
       next = std::min(next, *link.unanswered_since + kAnswerTimeout);
     }
@@ -184,7 +189,13 @@
   const auto depth =
       static_cast<std::uint32_t>(std::min<std::size_t>(queues.Depth(key), kDemandWindow));
   const SentRow row{depth, queues.MeanEstimatedCost(key)};
-  const auto rotation = RotationAt(now);
+  // All spread queues of a router use the same shards, so that their rows share messages. Lone
+  // requests are divided among the shards.
+  const bool spread = IsSpread(key, queues, now);
+  const auto rotation =
+      RotationAt(spread ? this->rotation_seed
+                        : core::CombineHashes(this->rotation_seed, core::Raw(key.workspace)),
+                 now);
   const auto offer = [&](std::size_t begin, std::size_t count, std::size_t limit) {
     for (std::size_t index = 0; index < std::min(count, limit); ++index) {
       const auto& shard = pool.shards[begin + (rotation + index) % count];
@@ -192,7 +203,7 @@
     }
   };
   const auto others = pool.shards.size() - pool.own;
-  if (!IsSpread(key, queues, now)) {
+  if (!spread) {
     if (pool.own > 0) {
       offer(0, pool.own, 1);
     } else {
@@ -200,8 +211,9 @@
     }
     return;
   }
-  offer(0, pool.own, kSpreadShards);
-  offer(pool.own, others, kSpreadShards - std::min(kSpreadShards, pool.own));
+  const auto own = std::min(pool.own, kSpreadShards - std::min(others, kOtherDomainShards));
+  offer(0, pool.own, own);
+  offer(pool.own, others, kSpreadShards - own);
 }
 
 const core::RouterIdentity* DemandPlanner::ChooseAllocator(Link& link, core::TimePoint now) {
--- a/libraries/scheduling/entry_queues.cc
+++ b/libraries/scheduling/entry_queues.cc
@@ -1,6 +1,7 @@
 #include "libraries/scheduling/entry_queues.h"
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 #include <cmath>
 
@@ -38,7 +39,7 @@
   return PushResult::kAccepted;
 }
 
-void EntryQueues::PushBack(const QueuedRequest& request) { this->Insert(request, true); }
+void EntryQueues::Requeue(const QueuedRequest& request) { this->Insert(request, true); }
 
 std::optional<QueuedRequest> EntryQueues::Pop(const QueueKey& key, core::TimePoint now) {
   const auto found = this->queues.find(key);
@@ -120,6 +121,7 @@
 }
 
 void EntryQueues::Insert(const QueuedRequest& request, bool at_head) {
+  assert(!this->positions.contains(request.id));
   auto& queue = this->queues[request.key];
   const auto [entry, is_new] = queue.callers.try_emplace(request.caller);
   if (is_new) {
--- a/services/pomelospard/admin_handler.cc
+++ b/services/pomelospard/admin_handler.cc
@@ -43,7 +43,7 @@
 
 http::HttpResponse ResultResponse(const core::Result<void>& result) {
   if (result) {
-    return JsonResponse(200, {{"done", true}});
+    return JsonResponse(200, {{"message", "done"}});
   }
   return JsonErrorResponse(core::Is(result.error(), core::ErrorKind::kNotFound) ? 404 : 500,
                            result.error().message);
@@ -75,7 +75,7 @@
   const auto block_platform = body.value("block_platform", nlohmann::json(false));
   services.transport.BlockPeers(std::move(blocked));
   services.faults.block_platform = block_platform.is_boolean() && block_platform.get<bool>();
-  return JsonResponse(200, {{"done", true}});
+  return JsonResponse(200, {{"message", "done"}});
 }
 
 http::HttpResponse Explain(AdminServices& services, const std::string& id) {
@@ -131,7 +131,7 @@
   }
   if (request.method == "DELETE" && path.starts_with("/v1/quarantine/")) {
     ClearQuarantine(services.board, Tail(request, "/v1/quarantine/"));
-    return JsonResponse(200, {{"done", true}});
+    return JsonResponse(200, {{"message", "done"}});
   }
   return JsonErrorResponse(404, "no such action; docs/admin_api.md lists them");
 }
--- a/services/pomelospard/daemon.cc
+++ b/services/pomelospard/daemon.cc
@@ -113,6 +113,7 @@
   board.outbox =
       std::make_unique<Outbox>([this] { asio::post(this->io, [this] { this->Flush(); }); });
   const auto now = board.clock.now();
+  board.started = now;
   membership::MemberTableOptions options;
   options.self = board.self;
   options.domain = board.domain;
@@ -122,7 +123,7 @@
   board.notices = std::make_unique<notices::NoticeBoard>(
       notices::NoticeBoardOptions{.origin = board.self.incarnation});
   board.ledger = std::make_unique<scheduling::ServiceLedger>(board.self.incarnation);
-  board.planner = std::make_unique<scheduling::DemandPlanner>(board.domain);
+  board.planner = std::make_unique<scheduling::DemandPlanner>(board.domain, board.self.incarnation);
   board.retry_budget = std::make_unique<admission::RetryBudget>(now);
   board.crashes = std::make_unique<admission::CrashTracker>(board.self.incarnation);
 }
@@ -364,6 +365,7 @@
   while (true) {
     this->platform.list_instances(this->board->instance_list_version,
                                   [this](core::Result<platform::InstanceChanges> list) {
+                                    this->board->platform_reachable = list.has_value();
                                     if (list) {
                                       HandleInstances(*this->board, list.value());
                                     }
--- a/services/pomelospard/request_flow.cc
+++ b/services/pomelospard/request_flow.cc
@@ -303,7 +303,7 @@
   this->attempts += 1;
   this->attempt_cost = 0.0;
   this->Step(fmt::format("attempt {} at runner {}", this->attempts, runner.address));
-  this->board.running[this->number] = {slot.runner, this->fingerprint};
+  this->board.running[this->number] = {slot.runner, this->queued.key.workspace, this->fingerprint};
   auto result = co_await this->Attempt(slot, runner);
   this->any_byte_sent = this->any_byte_sent || result.end != AttemptEnd::kNotSent;
   co_return co_await this->AfterAttempt(slot, runner, std::move(result));
--- a/services/pomelospard/scheduling_controller.cc
+++ b/services/pomelospard/scheduling_controller.cc
@@ -195,7 +195,7 @@
 
 void RequeueRequest(Blackboard& board, const scheduling::QueuedRequest& request,
                     SlotCallback callback) {
-  board.queues.PushBack(request);
+  board.queues.Requeue(request);
   board.waiting.emplace(request.id, std::move(callback));
   SendPlan(board);
 }
