--- a/tests/utilities/pomelosparctl/pomelosparctl_test.cc
+++ b/tests/utilities/pomelosparctl/pomelosparctl_test.cc
@@ -123,6 +123,7 @@
       {"status --server=127.0.0.1:1 --token-file=/nonexistent", "check its path"},
       {"history --limit=0", "--limit must be"},
       {"rollback none", "pomelosparctl history"},
+      {"apply f.toml --expect-generation=-7", "must be 0 or more"},
       {"quarantine clear", "quarantine clear FINGERPRINT"},
       {"faults x", "write for example"},
       {"hash-key < /dev/null", "hash-key < KEYFILE"},
--- a/utilities/pomelosparctl/main.cc
+++ b/utilities/pomelosparctl/main.cc
@@ -72,6 +72,12 @@
   if (FLAGS_limit == 0 || FLAGS_limit > kMaximumHistory) {
     return tool::Fail(tool::kUsageError, "--limit must be from 1 to 100");
   }
+  // A mistyped expectation must not turn into an apply without one.
+  if (FLAGS_expect_generation < 0 &&
+      !gflags::GetCommandLineFlagInfoOrDie("expect_generation").is_default) {
+    return tool::Fail(tool::kUsageError,
+                      "--expect-generation must be 0 or more; see `pomelosparctl history`");
+  }
   const std::string name = arguments[1];
   const auto given = static_cast<std::size_t>(argument_count - 2);
   for (const auto& command : tool::Commands()) {
