--- a/meta/mutants.py
+++ b/meta/mutants.py
@@ -44,18 +44,16 @@
            "libraries/http/upstream_connection.cc",
            "if (self.failed || !self.response_read || !self.input.empty()) return false;",
            "if (self.failed) return false;", "test_own_answer.py"),
-    Mutant("truncated_looks_whole", "a stream without its last event is not ended as whole",
-           "services/pomelospard/upstream_attempt.cc",
-           """    if (!piece) {
-      co_return UpstreamError(attempt, piece.error());
-    }""",
-           """    if (!piece) {
-      break;
-    }""", "test_request_path.py", "RequestPathTest.test_truncated_stream_is_visibly_cut"),
+    Mutant("truncated_looks_whole", "the connection is cut when a stream cannot be completed",
+           "services/pomelospard/request_flow.cc",
+           """    // The caller sees the end of the connection before the end of the body.
+    this->exchange.Abort();""",
+           """    std::ignore = co_await this->exchange.FinishStream({});""",
+           "test_request_path.py", "RequestPathTest.test_truncated_stream_is_visibly_cut"),
     Mutant("ignore_leaving", "no grant on a runner that is leaving or drained",
            "services/pomelospard/runner_controller.cc",
            "return board.notices->IsRunnerUsable(runner.address, runner.incarnation, "
-           "board.clock.now());", "return true || board.lifecycle == Lifecycle::kServing;",
+           "board.clock.now());", "return !runner.address.empty() || board.lifecycle == Lifecycle::kServing;",
            "test_leaving.py", "LeavingTest.test_operator_drain_with_the_platform_down"),
     Mutant("stop_at_once", "a planned stop waits for accepted requests",
            "services/pomelospard/daemon.cc",
@@ -74,7 +72,7 @@
            "libraries/scheduling/slot_allocator_order.cc",
            "return this->ledger->NormalisedService(workspace.id) +\n"
            "         workspace.running / this->ledger->Share(workspace.id);",
-           "return 0.0 * workspace.running;", "test_fairness.py",
+           "return 0.0 * workspace.running * this->ledger->Share(workspace.id);", "test_fairness.py",
            "FairnessTest.test_gap_and_utilisation_with_skewed_entry"),
     Mutant("no_other_domains", "idle slots of other domains are used",
            "services/pomelospard/scheduling_controller.cc",
--- a/services/pomelospard/admin_handler.cc
+++ b/services/pomelospard/admin_handler.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "libraries/admission/digest.h"
@@ -150,7 +151,7 @@
     }
   }
   if (written) {
-    co_await exchange.FinishStream({});
+    std::ignore = co_await exchange.FinishStream({});
   }
 }
 
@@ -158,13 +159,13 @@
   const auto path = exchange.request().path();
   if (path == "/healthz") {
     auto response = TextResponse(200, "ok\n");
-    co_await exchange.Respond(std::move(response));
+    std::ignore = co_await exchange.Respond(std::move(response));
     co_return true;
   }
   if (path == "/readyz") {
     const bool ready = services.board.lifecycle == Lifecycle::kServing;
     auto response = ready ? TextResponse(200, "ready\n") : TextResponse(503, "not ready\n");
-    co_await exchange.Respond(std::move(response));
+    std::ignore = co_await exchange.Respond(std::move(response));
     co_return true;
   }
   if (path == "/metrics") {
@@ -193,7 +194,7 @@
   } else {
     response = ServeAction(services, request);
   }
-  co_await exchange.Respond(std::move(response));
+  std::ignore = co_await exchange.Respond(std::move(response));
 }
 
 }  // namespace pomelospar::daemon
--- a/services/pomelospard/daemon.cc
+++ b/services/pomelospard/daemon.cc
@@ -94,7 +94,7 @@
   daemon->faults->post = [&io = daemon->io](std::function<void()> function) {
     asio::post(io, std::move(function));
   };
-  daemon->platform = WithFaults(std::move(platform), daemon->faults);
+  daemon->platform = WithFaults(platform, daemon->faults);
   daemon->claims = std::make_unique<claims::ClaimStore>(
       claims::ClaimSettings{.incarnation = board.self.incarnation}, daemon->platform);
   daemon->InitializeConfigurationSync();
--- a/services/pomelospard/fault_injection.cc
+++ b/services/pomelospard/fault_injection.cc
@@ -24,8 +24,8 @@
 
 }  // namespace
 
-platform::PlatformClient WithFaults(platform::PlatformClient client,
-                                    std::shared_ptr<const FaultInjection> faults) {
+platform::PlatformClient WithFaults(const platform::PlatformClient& client,
+                                    const std::shared_ptr<const FaultInjection>& faults) {
   platform::PlatformClient guarded;
   guarded.commit = [faults, call = client.commit](
                        std::vector<platform::Transaction> transactions,
--- a/services/pomelospard/fault_injection.h
+++ b/services/pomelospard/fault_injection.h
@@ -17,8 +17,8 @@
 };
 
 /// A client whose calls fail with `kUnavailable` while the platform is blocked.
-platform::PlatformClient WithFaults(platform::PlatformClient client,
-                                    std::shared_ptr<const FaultInjection> faults);
+platform::PlatformClient WithFaults(const platform::PlatformClient& client,
+                                    const std::shared_ptr<const FaultInjection>& faults);
 
 }  // namespace pomelospar::daemon
 
--- a/services/pomelospard/request_flow.cc
+++ b/services/pomelospard/request_flow.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <tuple>
 #include <utility>
 
 #include "libraries/admission/digest.h"
@@ -260,7 +261,7 @@
     response.headers.push_back({std::string(admission::kOutcomeHeader),
                                 std::string(admission::HeaderValue(Outcome::kAnswered))});
     const auto status = response.status;
-    co_await this->exchange.Respond(std::move(response));
+    std::ignore = co_await this->exchange.Respond(std::move(response));
     this->Step("answered before; recorded response replayed");
     this->Conclude(status, Outcome::kAnswered);
     co_return false;
@@ -501,7 +502,7 @@
     response.headers.push_back({std::string(admission::kOutcomeHeader),
                                 std::string(admission::HeaderValue(Outcome::kAnswered))});
     this->SettleClaim(Outcome::kAnswered, std::move(recorded));
-    co_await this->exchange.Respond(std::move(response));
+    std::ignore = co_await this->exchange.Respond(std::move(response));
   } else {
     this->SettleClaim(Outcome::kAnswered, std::nullopt);
   }
@@ -531,7 +532,7 @@
   } else {
     this->Step(error.message);
     auto response = MakeErrorResponse(error, this->id);
-    co_await this->exchange.Respond(std::move(response));
+    std::ignore = co_await this->exchange.Respond(std::move(response));
   }
   this->Conclude(error.status, error.outcome);
 }
