--- a/meta/demo.py
+++ b/meta/demo.py
@@ -18,13 +18,11 @@
 from measure import control_cost, f
 
 ROUTER_DOMAINS = "aabbccc"
+# One slot makes 50 output tokens a second, as the fleet file declares in `slot_service_rate`.
 TOKEN_MS = 20
 FIRST_TOKEN_MS = 50
 # Mean of the uniform distribution below.
 TOKENS, MEAN_TOKENS = "uniform:20:60", 40
-# The largest request of the demo: 60 output tokens at 4 cost units and its prompt; one slot makes an
-# output token in TOKEN_MS. The fairness bound follows from both.
-DECLARED = f"[limits]\nlargest_request_cost = 400.0\nslot_service_rate = {4000.0 / TOKEN_MS}"
 EXAMPLE = f.REPOSITORY / "examples" / "atlas" / "fleet.toml"
 
 
@@ -67,7 +65,6 @@
         self.services = self.start_upstream(tables["order-desk"], "service_stand_in")
         real = {runner["declared"]: runner["address"] for runner in self.engines + self.services}
         self.document = re.sub(r"127\.0\.0\.1:\d+", lambda found: real[found.group()], document)
-        self.document = self.document.replace("[limits]", DECLARED)
         self.fleet_file = self.folder / "fleet.toml"
         self.fleet_file.write_text(self.document)
         self.workspaces = tomllib.loads(self.document)["workspace"]
--- a/meta/mutants.py
+++ b/meta/mutants.py
@@ -79,6 +79,30 @@
            "return upstream.cross_domain && !board.unreachable_domains.contains(domain);",
            "return false && upstream.cross_domain;", "test_fairness.py",
            "FairnessTest.test_gap_and_utilisation_with_skewed_entry"),
+    Mutant("no_certificate_reload", "the certificate is read again at SIGHUP",
+           "libraries/http/http_server.cc", "if (!this->state->tls) return core::Success();",
+           "if (this->state->tls) return core::Success();", "test_security.py",
+           "SecurityTest.test_tls_with_reload"),
+    Mutant("any_fleet_key", "datagrams under another fleet key are rejected",
+           "libraries/wire/opener.cc",
+           """    return this->Reject(RejectReason::kUnknownKey);
+  }
+  const std::string_view serialized = datagram.substr(kHeaderBytes);
+  std::string authenticated(datagram.substr(0, kKeyIdentifierBytes));
+  authenticated.append(serialized);
+  const Authenticator expected = key->Authenticate(authenticated);
+  if (CRYPTO_memcmp(expected.data(), datagram.data() + kKeyIdentifierBytes, expected.size()) != 0) {
+    return this->Reject(RejectReason::kBadAuthenticator);
+  }
+""",
+           """    this->Reject(RejectReason::kUnknownKey);
+  }
+  const std::string_view serialized = datagram.substr(kHeaderBytes);
+""", "test_security.py",
+           "SecurityTest.test_foreign_fleet_key"),
+    Mutant("any_admin_token", "the admin port needs the operator's token",
+           "services/pomelospard/admin_handler.cc", "given.size()) == 0;", "given.size()) < 1000;",
+           "test_security.py", "SecurityTest.test_admin_token"),
 ]
 
 
