--- a/meta/measure.py
+++ b/meta/measure.py
@@ -19,10 +19,11 @@
 
 import fleet as f  # noqa: E402
 
-# Slots of one runner in the measures: small, so that a few closed-loop callers keep all busy.
-SLOTS = 4
-TOKEN_MS = 4
-FIRST_TOKEN_MS = 20
+# Slots of one runner, as in examples/. Times are a seventh of a real engine's (57 ms a token), so
+# that ten times the capacity can be offered on one machine.
+SLOTS = 8
+TOKEN_MS = 8
+FIRST_TOKEN_MS = 40
 TICKS = os.sysconf("SC_CLK_TCK")
 
 DEPLOYMENTS = {
@@ -322,10 +323,10 @@
 def measure_relay(recorder):
     values, memory = [], []
     for _ in range(recorder.runs):
-        with Bench("atlas", routers="a", slots=1024, runner_flags=("--token_ms=50",)) as bench:
+        with Bench("atlas", routers="a", slots=1024, runner_flags=("--token_ms=100",)) as bench:
             router = bench.list[0]
             load = run_load([router.caller], workspaces_flag(WORKSPACES[:8]), "--concurrency=2000",
-                            "--kinds=chat_stream", "--max_tokens=fixed:200", "--duration=14",
+                            "--kinds=chat_stream", "--max_tokens=fixed:100", "--duration=14",
                             "--drain=0.2", "--max_in_flight=4000", wait=False)
             time.sleep(4)
             cpu, tokens = cpu_seconds(router.process), generated(bench)
@@ -440,6 +441,73 @@
     recorder.add("memory_mb", setting, [cost[2]], "MB private")
 
 
+def service_of(router):
+    rows = router.admin_call("GET", "/v1/workspaces")[1]["workspaces"]
+    return {row["name"]: row["service"] for row in rows}
+
+
+def measure_series(recorder):
+    """Time series for the plots: the gap with a cut domain, and other work during a flood."""
+    folder = recorder.path.parent / "plots"
+    folder.mkdir(exist_ok=True)
+    record_gap_series(folder / "gap_over_time.tsv")
+    record_flood_series(folder / "flood_over_time.tsv")
+    subprocess.run(["gnuplot", REPOSITORY / "meta" / "plots.gp"], cwd=folder, check=True)
+
+
+def record_gap_series(path):
+    lines = ["# seconds, gap in tokens per share since the start, bound, 1 while domain c is cut off"]
+    with Bench("atlas") as bench:
+        children = skewed_load(bench, lambda i, b=bench: [b.list[i].caller], 40)
+        time.sleep(2)
+        inside = [router for router in bench.list if router.domain == "c"]
+        outside = [router for router in bench.list if router.domain != "c"]
+        start, first, bound = time.monotonic(), service_of(bench.list[0]), 0
+        cut = False
+        while (now := time.monotonic() - start) < 35:
+            if (10 <= now < 18) != cut:
+                cut = not cut
+                for router in inside:
+                    router.cut(outside if cut else [])
+                for router in outside:
+                    router.cut(inside if cut else [])
+            current = service_of(bench.list[0])
+            received = [current[name] - first[name] for name in WORKSPACES]
+            bound = bench.list[0].status()["fairness_bound"]
+            lines.append(f"{now:.2f}\t{max(received) - min(received):.0f}\t{bound:.0f}\t{int(cut)}")
+            time.sleep(0.25)
+        for child in children:
+            load_result(child)
+    path.write_text("\n".join(lines) + "\n")
+
+
+def record_flood_series(path):
+    """Answers a second and p95 of the first token of quiet workspaces, flood from 8 s to 16 s."""
+    lines = ["# seconds, answers a second, p95 first token in ms, 1 during the flood"]
+    with Bench("kalahari") as bench:
+        routers = [router.caller for router in bench.list]
+        history = bench.folder / "history.jsonl"
+        capacity = len(bench.runners) * SLOTS * 1000 / (FIRST_TOKEN_MS + 35 * TOKEN_MS)
+        quiet = run_load(routers, workspaces_flag(WORKSPACES[:8]), f"--rate={0.4 * capacity}",
+                         "--classes=interactive", "--kinds=chat_stream",
+                         "--max_tokens=uniform:10:60", "--duration=24", "--drain=2",
+                         f"--history={history}", wait=False)
+        time.sleep(8)
+        flood = run_load(routers, workspaces_flag(WORKSPACES[8:10]), f"--rate={10 * capacity}",
+                         "--classes=batch", "--kinds=chat_stream", "--max_tokens=uniform:10:60",
+                         "--duration=8", "--drain=0.2", "--max_in_flight=20000", wait=False)
+        load_result(flood)
+        load_result(quiet)
+        entries = [json.loads(line) for line in history.read_text().splitlines()]
+    for second in range(24):
+        inside = [e for e in entries if second <= e["planned"] < second + 1
+                  and e["result"] == "answered"]
+        waits = sorted(1000 * (e["first"] - e["planned"]) for e in inside)
+        p95 = waits[int(0.95 * (len(waits) - 1))] if waits else 0
+        lines.append(f"{second}\t{len(inside)}\t{p95:.1f}\t{int(8 <= second < 16)}")
+    path.write_text("\n".join(lines) + "\n")
+
+
 GROUPS = {
     "fairness": measure_fairness,
     "flood": measure_flood,
@@ -450,6 +518,7 @@
     "grant": measure_grant,
     "control": measure_control,
     "slopes": measure_slopes,
+    "series": measure_series,
 }
 
 
