Transport: Keep the listener open until the process exits

transport_test hung in about 1 of 20 runs: in nng 1.5.2, closing a listening socket while a connection is being accepted blocks nng_close, and after it every later nng_close of the process, also of push sockets. Closing the listener first, or on a thread of its own, did not help. Closing dialers was never affected in 60,000 trials. The destructor now ends the callbacks and leaves the socket to the end of the process. 60 runs in a row pass.

--- a/libraries/transport/control_transport.cc
+++ b/libraries/transport/control_transport.cc
@@ -7,7 +7,9 @@
 
 #include <atomic>
 #include <cstring>
+#include <mutex>
 #include <utility>
+#include <vector>
 
 namespace pomelospar::transport {
 namespace {
@@ -39,12 +41,18 @@
   std::atomic<std::uint64_t> bytes = 0;
   std::atomic<std::uint64_t> refused = 0;
 
-  ~Listener() {
-    if (this->aio != nullptr) {
-      nng_aio_stop(this->aio);
+  // Ends the calls of `receive`. The socket stays open until the process exits: in nng 1.5.2,
+  // closing a listener while a connection is being accepted can block all later nng_close calls for
+  // ever.
+  static void Stop(std::unique_ptr<Listener> listener) {
+    static std::mutex mutex;
+    static auto* stopped = new std::vector<std::unique_ptr<Listener>>();
+    if (listener->aio != nullptr) {
+      nng_aio_stop(listener->aio);
     }
-    nng_close(this->socket);
-    nng_aio_free(this->aio);
+    listener->receive = nullptr;
+    const std::lock_guard lock(mutex);
+    stopped->push_back(std::move(listener));
   }
 
   static void OnReceive(void* argument) {
@@ -141,7 +149,7 @@
 ControlTransport::ControlTransport(TransportOptions options)
     : options(std::move(options)), listener(std::make_unique<Listener>()) {}
 
-ControlTransport::~ControlTransport() = default;
+ControlTransport::~ControlTransport() { Listener::Stop(std::move(this->listener)); }
 
 bool ControlTransport::Send(const std::string& address, std::string_view datagram,
                             core::TimePoint now) {
--- a/libraries/transport/control_transport.h
+++ b/libraries/transport/control_transport.h
@@ -60,7 +60,8 @@
 
   ControlTransport(const ControlTransport&) = delete;
   ControlTransport& operator=(const ControlTransport&) = delete;
-  /// Closes all connections; `receive` is not called after it returned.
+  /// Closes the connections to peers; `receive` is not called after it returned. The listener keeps
+  /// its port until the process exits, see the implementation.
   ~ControlTransport();
 
   /// Hands the datagram to the connection of this peer, which is made on the first send. Returns
