--- /dev/null
+++ b/tests/libraries/membership/member_table_test.cc
@@ -0,0 +1,189 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "tests/libraries/membership/network.h"
+
+namespace pomelospar::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 20261204;
+
+class FleetTest : public testing::TestWithParam<std::pair<std::size_t, std::size_t>> {
+ protected:
+  // Starts all routers and waits until the news of that have passed.
+  void Settle() {
+    this->network.StartAll();
+    ASSERT_LT(this->UntilAgreed(seconds(20)), seconds(15));
+    this->network.Run(seconds(30));
+    this->network.ForgetEvents();
+  }
+  core::Duration UntilAgreed(core::Duration limit) {
+    return this->network.RunUntil([this] { return this->network.Agrees(); }, limit);
+  }
+  Node& node(std::size_t index) { return this->network.nodes[index]; }
+
+  Network network{GetParam().first, GetParam().second, kSeed};
+};
+
+// The two deployments and the target: 6, 45 and 369 routers.
+INSTANTIATE_TEST_SUITE_P(Sizes, FleetTest,
+                         testing::Values(std::pair(3, 2), std::pair(9, 5), std::pair(9, 41)));
+
+// Guards against probes that cost more than their share of the 3 KB/s of a daemon, against a dead
+// router that stays in duty, and against a restart or a late starter that others do not notice.
+TEST_P(FleetTest, DetectsDeathAndRestartWithinBoundsAndBudget) {
+  this->Settle();
+  for (auto& each : this->network.nodes) {
+    each.sent_bytes = 0;
+  }
+  this->network.Run(seconds(60));
+  for (const auto& each : this->network.nodes) {
+    EXPECT_LT(each.sent_bytes / 60, 500U);
+  }
+  EXPECT_EQ(this->network.CountEvents(EventKind::kDied), 0U);
+
+  this->network.Stop(1);
+  EXPECT_LT(this->UntilAgreed(seconds(30)), seconds(12));
+  // Knows one address only, and finds everybody.
+  this->network.Start(1, {this->node(0).identity.address});
+  EXPECT_LT(this->UntilAgreed(seconds(30)), seconds(2));
+  this->network.Run(seconds(20));
+
+  this->network.ForgetEvents();
+  const std::uint64_t previous = this->node(2).identity.incarnation;
+  this->network.Start(2, this->network.addresses());
+  EXPECT_LT(this->UntilAgreed(seconds(30)), seconds(2));
+  EXPECT_EQ(this->network.CountEvents(EventKind::kRestarted), this->network.nodes.size() - 1);
+  EXPECT_EQ(this->node(0).table->Find({this->node(2).identity.address, previous}), nullptr);
+  this->network.Run(seconds(20));
+  EXPECT_EQ(this->network.CountEvents(EventKind::kRestarted), this->network.nodes.size() - 1);
+}
+
+// Guards against a partition that is noticed by one side only, or that is never seen to have
+// healed.
+TEST_P(FleetTest, EachSideOfAPartitionGoesOnAndTheyFindEachOtherAgain) {
+  this->Settle();
+  this->network.reachable = [](const Node& from, const Node& to) {
+    return (from.domain == 0) == (to.domain == 0);
+  };
+  EXPECT_LT(this->UntilAgreed(seconds(60)), seconds(25));
+  this->network.Run(minutes(2));
+  this->network.reachable = [](const Node&, const Node&) { return true; };
+  EXPECT_LT(this->UntilAgreed(seconds(60)), seconds(15));
+  this->network.ForgetEvents();
+  this->network.Run(minutes(1));
+  EXPECT_EQ(this->network.CountEvents(EventKind::kDied), 0U);
+}
+
+// Guards against routers taken for dead because one pair of domains is cut while a third reaches
+// both.
+TEST_P(FleetTest, CutBetweenTwoDomainsKillsNobody) {
+  this->Settle();
+  this->network.reachable = [](const Node& from, const Node& to) {
+    return from.domain + to.domain != 1 || from.domain == to.domain;
+  };
+  this->network.Run(minutes(1));
+  EXPECT_EQ(this->network.CountEvents(EventKind::kDied), 0U);
+}
+
+// Guards against a paused router that is taken for dead for good, or that takes the others for dead
+// when it goes on.
+TEST_P(FleetTest, PausedMemberReturns) {
+  this->Settle();
+  this->network.Pause(0);
+  EXPECT_LT(this->UntilAgreed(seconds(30)), seconds(12));
+  this->network.Run(seconds(30));
+  this->network.ForgetEvents();
+  this->network.Resume(0);
+  EXPECT_LT(this->UntilAgreed(seconds(30)), seconds(10));
+  this->network.Run(seconds(20));
+  EXPECT_EQ(this->network.CountEvents(EventKind::kDied), 0U);
+}
+
+// Guards against duties given to a router that announced its shutdown.
+TEST_P(FleetTest, LeavingIsKnownToAllAtOnce) {
+  this->Settle();
+  this->network.Send(0, this->node(0).table->Leave(this->network.now));
+  this->network.Run(milliseconds(200));
+  EXPECT_EQ(this->network.CountEvents(EventKind::kLeaving), this->network.nodes.size() - 1);
+  for (const auto& each : this->network.nodes) {
+    const auto routers = each.table->LiveRouters(static_cast<core::DomainId>(1));
+    EXPECT_EQ(std::count(routers.begin(), routers.end(), this->node(0).identity), 0);
+    EXPECT_TRUE(each.table->IsLive(this->node(0).identity));
+  }
+}
+
+// Guards against reachable members that are taken for dead because messages are lost.
+TEST(MemberTableTest, NoFalseDeathAtTenPercentLossInTenMinutes) {
+  for (const auto& [domains, routers] : {std::pair(3, 2), std::pair(9, 5), std::pair(9, 41)}) {
+    Network network(static_cast<std::size_t>(domains), static_cast<std::size_t>(routers), kSeed);
+    network.StartAll();
+    network.Run(seconds(30));
+    network.ForgetEvents();
+    network.loss = 0.1;
+    network.Run(minutes(10));
+    EXPECT_EQ(network.CountEvents(EventKind::kDied), 0U) << domains << " domains";
+  }
+}
+
+// Guards against a first router that waits for others, and against one that probes itself.
+TEST(MemberTableTest, RouterAloneIsLiveAtOnce) {
+  Network network(1, 1, kSeed);
+  network.StartAll();
+  const Node& alone = network.nodes[0];
+  EXPECT_EQ(alone.table->LiveRouters(static_cast<core::DomainId>(1)), std::vector{alone.identity});
+  network.Run(seconds(20));
+  EXPECT_TRUE(alone.table->synchronized());
+  EXPECT_EQ(alone.sent_bytes, 0U);
+}
+
+// Guards against configuration generations and notices that routers do not learn of.
+TEST(MemberTableTest, ReportsHigherGenerationsAndOtherDigests) {
+  Network network(1, 3, kSeed);
+  network.StartAll();
+  network.Run(seconds(10));
+  EXPECT_EQ(network.CountEvents(EventKind::kGenerationSeen), 0U);
+  network.nodes[0].table->SetLocalState(7, 99);
+  network.Send(0, network.nodes[0].table->PingAll(network.now));
+  network.Run(milliseconds(50));
+  // A regular probe may report it a second time within the 50 ms.
+  for (const std::size_t index : {1U, 2U}) {
+    const auto& events = network.nodes[index].events;
+    for (const auto& [kind, value] : {std::pair(EventKind::kGenerationSeen, 7U),
+                                      std::pair(EventKind::kNoticeDigestSeen, 99U)}) {
+      EXPECT_TRUE(std::any_of(events.begin(), events.end(),
+                              [&](const auto& entry) {
+                                return entry.second.kind == kind && entry.second.value == value &&
+                                       entry.second.router == network.nodes[0].identity;
+                              }))
+          << "router " << index;
+    }
+  }
+  EXPECT_EQ(network.CountEvents(EventKind::kJoined), 6U);
+}
+
+// Guards against memory that grows with every router that ever was, and against listed addresses
+// that are forgotten.
+TEST(MemberTableTest, ForgetsDeadMembersThatAreNotListed) {
+  Network network(1, 4, kSeed);
+  network.StartAll();
+  network.Run(seconds(5));
+  network.Stop(2);
+  network.Stop(3);
+  network.nodes[0].table->SetSeeds({network.nodes[2].identity.address});
+  network.Run(minutes(9));
+  EXPECT_EQ(network.nodes[0].table->members().size(), 3U);
+  network.Run(minutes(2));
+  EXPECT_EQ(network.nodes[0].table->members().size(), 2U);
+  EXPECT_TRUE(network.nodes[0].table->members().contains(network.nodes[2].identity.address));
+}
+
+}  // namespace
+}  // namespace pomelospar::membership
