Membership, Notices: Sharpen the tests that a removed defence passed

The tests of copies that expire, of a pause and of the end of a partition passed with the defence removed; they now also cover an expiry between two exchanges, a pause during a suspicion, and deaths while the two sides of a partition meet.

--- a/tests/libraries/membership/member_table_test.cc
+++ b/tests/libraries/membership/member_table_test.cc
@@ -75,9 +75,10 @@
   };
   EXPECT_LT(this->UntilAgreed(seconds(60)), seconds(25));
   this->network.Run(minutes(2));
+  // Each side tells the other that its members are dead; none of them may believe it.
+  this->network.ForgetEvents();
   this->network.reachable = [](const Node&, const Node&) { return true; };
   EXPECT_LT(this->UntilAgreed(seconds(60)), seconds(15));
-  this->network.ForgetEvents();
   this->network.Run(minutes(1));
   EXPECT_EQ(this->network.CountEvents(EventKind::kDied), 0U);
 }
@@ -107,6 +108,32 @@
   EXPECT_EQ(this->network.CountEvents(EventKind::kDied), 0U);
 }
 
+// Guards against a router that was paused while it suspected others, and that on its return takes
+// the time of the pause for time in which they did not answer.
+TEST_P(FleetTest, PauseIsNoEvidenceOfDeath) {
+  this->Settle();
+  const auto isolated = [this](const Node& from, const Node& to) {
+    return &from != &this->node(0) && &to != &this->node(0);
+  };
+  this->network.reachable = isolated;
+  this->network.RunUntil(
+      [this] {
+        const auto& members = this->node(0).table->members();
+        return std::any_of(members.begin(), members.end(),
+                           [](const auto& entry) { return entry.second.probed_here; });
+      },
+      seconds(10));
+  this->network.Pause(0);
+  this->network.reachable = [](const Node&, const Node&) { return true; };
+  this->network.Run(seconds(5));
+  this->node(0).events.clear();
+  this->network.Resume(0);
+  this->network.Run(seconds(10));
+  EXPECT_TRUE(
+      std::none_of(this->node(0).events.begin(), this->node(0).events.end(),
+                   [](const auto& event) { return event.second.kind == EventKind::kDied; }));
+}
+
 // Guards against duties given to a router that announced its shutdown.
 TEST_P(FleetTest, LeavingIsKnownToAllAtOnce) {
   this->Settle();
--- a/tests/libraries/membership/network.cc
+++ b/tests/libraries/membership/network.cc
@@ -58,6 +58,8 @@
 void Network::Resume(std::size_t index) {
   Node& node = this->nodes[index];
   node.paused = false;
+  // Timers that are due run before the sockets are read.
+  this->Send(index, node.table->Tick(this->now));
   for (auto& [from, message] : std::exchange(node.held_while_paused, {})) {
     this->Send(index, node.table->Handle(from, message, this->now));
   }
--- a/tests/libraries/notices/notice_board_test.cc
+++ b/tests/libraries/notices/notice_board_test.cc
@@ -15,6 +15,7 @@
 namespace pomelospar::notices {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
 
@@ -112,13 +113,13 @@
   core::TimePoint now = Start();
   ASSERT_TRUE(left.Publish(Leaving("a", "1"), seconds(10), now).value().has_value());
   for (int step = 0; step < 200; ++step) {
-    for (const auto& batch : left.All(kNoLimit, now)) {
-      right.Merge(batch, now + std::chrono::milliseconds(30));
+    for (const auto& batch : right.All(kNoLimit, now + milliseconds(30))) {
+      left.Merge(batch, now + milliseconds(60));
     }
-    for (const auto& batch : right.All(kNoLimit, now + std::chrono::milliseconds(30))) {
-      left.Merge(batch, now + std::chrono::milliseconds(60));
+    for (const auto& batch : left.All(kNoLimit, now + milliseconds(60))) {
+      right.Merge(batch, now + milliseconds(140));
     }
-    now += std::chrono::milliseconds(100);
+    now += milliseconds(200);
     if (now - Start() > seconds(12)) {
       ASSERT_TRUE(left.IsRunnerUsable("a", "1", now));
       ASSERT_TRUE(right.IsRunnerUsable("a", "1", now));
