--- a/tests/libraries/membership/member_table_test.cc
+++ b/tests/libraries/membership/member_table_test.cc
@@ -196,6 +196,25 @@
   EXPECT_EQ(network.CountEvents(EventKind::kJoined), 6U);
 }
 
+// Guards against live members that one router with an outdated view declares dead for all.
+TEST(MemberTableTest, DeathReportedOfALiveMemberIsCheckedFirst) {
+  Network network(1, 3, kSeed);
+  network.StartAll();
+  network.Run(seconds(20));
+  network.ForgetEvents();
+  wire::Message report;
+  auto* update = report.mutable_ping()->mutable_piggyback()->add_members();
+  update->mutable_router()->set_address(network.nodes[2].identity.address);
+  update->mutable_router()->set_incarnation(network.nodes[2].identity.incarnation);
+  update->set_status(wire::MEMBER_DEAD);
+  update->set_refutation(1);
+  network.Send(0, network.nodes[0].table->Handle(network.nodes[1].identity, report, network.now));
+  EXPECT_TRUE(network.nodes[0].table->IsLive(network.nodes[2].identity));
+  network.Run(seconds(5));
+  EXPECT_EQ(network.CountEvents(EventKind::kDied), 0U);
+  EXPECT_TRUE(network.Agrees());
+}
+
 // Guards against memory that grows with every router that ever was, and against listed addresses
 // that are forgotten.
 TEST(MemberTableTest, ForgetsDeadMembersThatAreNotListed) {
