--- a/libraries/membership/member_table.cc
+++ b/libraries/membership/member_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <tuple>
 #include <utility>
 
 namespace pomelospar::membership {
@@ -115,7 +116,9 @@
       routers.push_back(member.identity);
     }
   }
-  std::sort(routers.begin(), routers.end());
+  std::sort(routers.begin(), routers.end(), [](const auto& left, const auto& right) {
+    return std::tie(left.address, left.incarnation) < std::tie(right.address, right.incarnation);
+  });
   return routers;
 }
 
--- a/libraries/membership/rendezvous.cc
+++ b/libraries/membership/rendezvous.cc
@@ -1,7 +1,7 @@
 #include "libraries/membership/rendezvous.h"
 
 #include <algorithm>
-#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace pomelospar::membership {
@@ -15,7 +15,10 @@
   }
   // Equal scores are ordered by identity, so that all routers agree.
   std::sort(scores.begin(), scores.end(), [](const auto& left, const auto& right) {
-    return left.first != right.first ? left.first > right.first : *left.second < *right.second;
+    return left.first != right.first
+               ? left.first > right.first
+               : std::tie(left.second->address, left.second->incarnation) <
+                     std::tie(right.second->address, right.second->incarnation);
   });
   std::vector<core::RouterIdentity> order;
   order.reserve(scores.size());
--- a/libraries/transport/control_transport.cc
+++ b/libraries/transport/control_transport.cc
@@ -128,8 +128,8 @@
   }
 };
 
-core::Result<std::unique_ptr<ControlTransport>> ControlTransport::Create(TransportOptions options,
-                                                                         ReceiveFunction receive) {
+core::Result<std::unique_ptr<ControlTransport>> ControlTransport::Create(
+    const TransportOptions& options, ReceiveFunction receive) {
   const std::string& address = options.listen_address;
   const auto colon = address.rfind(':');
   if (colon == std::string::npos) {
--- a/libraries/transport/control_transport.h
+++ b/libraries/transport/control_transport.h
@@ -55,7 +55,7 @@
   using ReceiveFunction = std::function<void(std::string datagram)>;
 
   /// Errors: `kInvalidArgument` for a bad address, `kUnavailable` if it cannot be listened on.
-  static core::Result<std::unique_ptr<ControlTransport>> Create(TransportOptions options,
+  static core::Result<std::unique_ptr<ControlTransport>> Create(const TransportOptions& options,
                                                                 ReceiveFunction receive);
 
   ControlTransport(const ControlTransport&) = delete;
