Daemon: Split the request flow by job, poll runners apart, renew drains

The connection to a dead peer is forgotten at once, because TCP's retransmission delays noticing that a partition has healed.

--- a/services/pomelospard/daemon.cc
+++ b/services/pomelospard/daemon.cc
@@ -15,8 +15,10 @@
 #include "libraries/platform/http_platform_client.h"
 #include "services/pomelospard/crash_controller.h"
 #include "services/pomelospard/notice_controller.h"
+#include "services/pomelospard/poll_period.h"
 #include "services/pomelospard/runner_controller.h"
 #include "services/pomelospard/scheduling_controller.h"
+#include "services/pomelospard/sleep.h"
 #include "services/pomelospard/text_file.h"
 
 namespace pomelospar::daemon {
@@ -32,23 +34,6 @@
 constexpr core::Duration kIdleTick = milliseconds(20);
 constexpr core::Duration kSlowTick = milliseconds(100);
 
-// A runner that does not answer its load report in this time is not taken for down at once,
-// because a busy engine answers late.
-constexpr core::Duration kLoadTimeout = seconds(1);
-constexpr unsigned kFailedPollsForDown = 3;
-constexpr std::size_t kLoadBytes = 16UL * 1024;
-
-asio::awaitable<void> Sleep(core::Duration time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
-// Spreads the polls of all routers over the period.
-core::Duration WithJitter(Blackboard& board, core::Duration period) {
-  std::uniform_real_distribution<double> factor(0.8, 1.2);
-  return std::chrono::duration_cast<core::Duration>(period * factor(board.random));
-}
-
 http::ServerLimits LimitsOf(const configuration::Limits& limits) {
   http::ServerLimits server;
   server.header_bytes = static_cast<std::uint32_t>(limits.maximum_header_bytes);
@@ -84,8 +69,7 @@
   daemon->InitializeBlackboard(std::move(settings));
   BOOST_OUTCOME_TRY(daemon->ReadAdminToken());
   BOOST_OUTCOME_TRY(daemon->OpenControl());
-  daemon->runner_connections =
-      std::make_unique<http::HttpClient>(daemon->io, http::HttpClientOptions());
+  daemon->runner_poller = std::make_unique<RunnerPoller>(daemon->io, *daemon->board);
   daemon->pool = std::make_unique<http::UpstreamPool>(daemon->io, http::UpstreamPoolOptions());
   const auto& board = *daemon->board;
   BOOST_OUTCOME_TRY(auto platform, platform::CreateHttpPlatformClient(
@@ -209,6 +193,8 @@
       this->store, *this->sync, this->platform, this->board->clock);
   this->hooks.peers.on_gone = [this](const core::RouterIdentity& peer) {
     this->sync->OnPeerGone(peer.address);
+    // TCP's own retransmission would delay noticing that a partition has healed.
+    this->transport->Forget(peer.address);
   };
   this->hooks.peers.on_generation = [this](const core::RouterIdentity& peer,
                                            std::uint64_t generation) {
@@ -245,7 +231,7 @@
   asio::co_spawn(this->io, this->WaitForSignals(), asio::detached);
   asio::co_spawn(this->io, this->RunTicks(), asio::detached);
   asio::co_spawn(this->io, this->PollInstances(), asio::detached);
-  asio::co_spawn(this->io, this->PollRunners(), asio::detached);
+  asio::co_spawn(this->io, this->runner_poller->Run(), asio::detached);
   this->log->Write(core::LogLevel::kInfo, "daemon started",
                    {{"control", std::string_view(this->board->self.address)},
                     {"caller", std::string_view(this->board->settings.caller_address)},
@@ -364,6 +350,10 @@
     this->transport->CloseIdle(now);
     this->ExportMetrics();
   }
+  if (now >= this->next_minute) {
+    this->next_minute = now + std::chrono::minutes(1);
+    RenewDrains(board);
+  }
 }
 
 asio::awaitable<void> Daemon::PollInstances() {
@@ -375,59 +365,8 @@
                                       HandleInstances(*this->board, list.value());
                                     }
                                   });
-    co_await Sleep(WithJitter(*this->board, this->board->settings.poll.instances));
-  }
-}
-
-asio::awaitable<void> Daemon::PollRunners() {
-  while (true) {
-    for (auto& runner : RunnersToPoll(*this->board)) {
-      asio::co_spawn(this->io, this->PollRunner(std::move(runner)), asio::detached);
-    }
-    co_await Sleep(WithJitter(*this->board, this->board->settings.poll.load));
-  }
-}
-
-asio::awaitable<void> Daemon::PollRunner(runners::RunnerEntry runner) {
-  const bool answers = co_await this->CheckRunner(runner);
-  if (answers) {
-    this->failed_polls.erase(runner.id);
-    MarkRunnerUp(*this->board, runner.id);
-    co_return;
-  }
-  const auto failures = ++this->failed_polls[runner.id];
-  if (failures >= kFailedPollsForDown || IsMarkedDown(*this->board, runner)) {
-    MarkRunnerDown(*this->board, runner.id);
-  }
-}
-
-asio::awaitable<bool> Daemon::CheckRunner(const runners::RunnerEntry& runner) {
-  const auto* upstream =
-      configuration::FindById(this->board->configuration->upstreams, runner.upstream);
-  if (upstream == nullptr || upstream->kind != configuration::UpstreamKind::kModelEngine) {
-    const auto connection = co_await http::UpstreamConnection::Open(runner.address, kLoadTimeout);
-    co_return connection.has_value();
-  }
-  http::HttpRequest request;
-  request.method = "GET";
-  request.target = "/load";
-  const auto response =
-      co_await this->runner_connections->Fetch(runner.address, request, kLoadTimeout, kLoadBytes);
-  if (!response) {
-    if (core::Is(response.error(), core::ErrorKind::kUnavailable)) {
-      // The port is closed: no need to wait for more failures.
-      this->failed_polls[runner.id] = kFailedPollsForDown;
-    }
-    co_return false;
-  }
-  const auto report = nlohmann::json::parse(response.value().body, nullptr, false);
-  if (report.is_object()) {
-    const auto incarnation = report.value("incarnation", nlohmann::json());
-    const auto text = incarnation.is_string() ? incarnation.get<std::string>() : std::string();
-    const auto leaving = report.value("leaving", nlohmann::json());
-    NoteRunnerResponse(*this->board, runner.id, text, leaving.is_boolean() && leaving.get<bool>());
+    co_await Sleep(WithJitter(this->board->random, this->board->settings.poll.instances));
   }
-  co_return true;
 }
 
 asio::awaitable<void> Daemon::ShutDown() {
--- a/services/pomelospard/daemon.h
+++ b/services/pomelospard/daemon.h
@@ -6,7 +6,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <map>
 #include <memory>
 #include <string>
 
@@ -17,7 +16,6 @@
 #include "libraries/configuration/daemon_settings.h"
 #include "libraries/core/log.h"
 #include "libraries/core/result.h"
-#include "libraries/http/http_client.h"
 #include "libraries/http/http_server.h"
 #include "libraries/http/upstream_pool.h"
 #include "libraries/transport/control_transport.h"
@@ -29,6 +27,7 @@
 #include "services/pomelospard/fault_injection.h"
 #include "services/pomelospard/message_dispatcher.h"
 #include "services/pomelospard/request_flow.h"
+#include "services/pomelospard/runner_poller.h"
 
 namespace pomelospar::daemon {
 
@@ -70,9 +69,6 @@
   boost::asio::awaitable<void> RunTicks();
   void Tick();
   boost::asio::awaitable<void> PollInstances();
-  boost::asio::awaitable<void> PollRunners();
-  boost::asio::awaitable<void> PollRunner(runners::RunnerEntry runner);
-  boost::asio::awaitable<bool> CheckRunner(const runners::RunnerEntry& runner);
   boost::asio::awaitable<void> ShutDown();
   void Reload();
   void ExportMetrics();
@@ -88,7 +84,7 @@
   std::unique_ptr<transport::ControlTransport> transport;
   ConfigurationHooks hooks;
 
-  std::unique_ptr<http::HttpClient> runner_connections;
+  std::unique_ptr<RunnerPoller> runner_poller;
   std::unique_ptr<http::UpstreamPool> pool;
   platform::PlatformClient platform;
   std::unique_ptr<claims::ClaimStore> claims;
@@ -104,9 +100,9 @@
   std::unique_ptr<http::HttpServer> admin_server;
   std::string admin_token;
 
-  std::map<core::RunnerId, unsigned> failed_polls;
   core::TimePoint next_slow_tick{};
   core::TimePoint next_second{};
+  core::TimePoint next_minute{};
 };
 
 }  // namespace pomelospar::daemon
--- a/services/pomelospard/request_flow.cc
+++ b/services/pomelospard/request_flow.cc
@@ -5,13 +5,12 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <tuple>
 #include <utility>
 
-#include "libraries/admission/digest.h"
 #include "services/pomelospard/crash_controller.h"
 #include "services/pomelospard/runner_controller.h"
 #include "services/pomelospard/scheduling_controller.h"
+#include "services/pomelospard/sleep.h"
 
 namespace pomelospar::daemon {
 namespace {
@@ -27,23 +26,10 @@
 constexpr milliseconds kCrashProbeDelay = milliseconds(20);
 constexpr milliseconds kCrashProbeTimeout = milliseconds(200);
 
-// A verdict about a crash takes up to 500 ms, until the reports of other routers have arrived.
-constexpr milliseconds kVerdictPoll = milliseconds(50);
-
-constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
 constexpr std::string_view kResumeHeader = "Resume-From";
 constexpr std::string_view kLeavingHeader = "Pomelospar-Leaving";
 constexpr std::string_view kIncarnationHeader = "Pomelospar-Runner-Incarnation";
 
-std::string_view HeaderOrEmpty(const http::HttpRequest& request, std::string_view name) {
-  return request.FindHeader(name).value_or(std::string_view());
-}
-
-asio::awaitable<void> Sleep(core::Duration time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 // Headers of the caller that end at the router: credentials and the router's own headers.
 bool IsForRouter(const http::HttpHeader& header) {
   return http::EqualsIgnoringCase(header.name, "Authorization") ||
@@ -55,27 +41,6 @@
          http::EqualsIgnoringCase(header.name, kResumeHeader);
 }
 
-claims::RecordedAnswer Record(const http::HttpResponse& response) {
-  claims::RecordedAnswer answer;
-  answer.status = response.status;
-  answer.body = response.body;
-  for (const auto& header : response.headers) {
-    answer.headers.emplace_back(header.name, header.value);
-  }
-  return answer;
-}
-
-http::HttpResponse Replay(claims::RecordedAnswer answer) {
-  http::HttpResponse response;
-  response.status = answer.status;
-  response.body = std::move(answer.body);
-  for (auto& [name, value] : answer.headers) {
-    response.headers.push_back({std::move(name), std::move(value)});
-  }
-  response.headers.push_back({"Pomelospar-Replayed", "true"});
-  return response;
-}
-
 }  // namespace
 
 RequestFlow::RequestFlow(RequestServices& services, http::ServerExchange& exchange)
@@ -111,173 +76,6 @@
   this->board.running.erase(this->number);
 }
 
-std::optional<RouterError> RequestFlow::Admit() {
-  const auto& request = this->exchange.request();
-  if (this->board.lifecycle != Lifecycle::kServing) {
-    return RouterError{.status = 503,
-                       .code = "not_serving",
-                       .message = "this router is starting or stopping; send the request again",
-                       .retry_after = std::chrono::seconds(1)};
-  }
-  const auto workspace = this->board.authenticator->Authenticate(
-      HeaderOrEmpty(request, "Authorization"), HeaderOrEmpty(request, "X-Api-Key"));
-  if (!workspace) {
-    return RouterError{.status = 401, .code = "unauthorized", .message = workspace.error().message};
-  }
-  auto peeked = admission::PeekRequestBody(request.body);
-  if (peeked) {
-    this->body = std::move(peeked.value());
-  }
-  const auto resolved =
-      admission::Resolve(*this->configuration, workspace.value(),
-                         {.method = request.method,
-                          .path = request.path(),
-                          .class_header = HeaderOrEmpty(request, admission::kClassHeader),
-                          .model = this->body.model});
-  if (!resolved) {
-    // A body that names no model because it is no JSON is better explained by its own error.
-    const bool malformed = !peeked && resolved.error().status == 404 && !request.body.empty();
-    return RouterError{.status = malformed ? 400 : resolved.error().status,
-                       .code = malformed ? "malformed_body" : "not_routable",
-                       .message = malformed ? peeked.error().message : resolved.error().message};
-  }
-  this->resolution = resolved.value();
-  const bool is_model =
-      this->resolution.upstream->kind == configuration::UpstreamKind::kModelEngine;
-  if (is_model && !peeked) {
-    return RouterError{.status = 400, .code = "malformed_body", .message = peeked.error().message};
-  }
-  const auto& units = this->resolution.upstream->cost;
-  const auto largest =
-      admission::CostOf(units, this->body.input_tokens, this->body.maximum_tokens.value_or(0));
-  if (is_model && largest > this->configuration->limits.largest_request_cost) {
-    // The fairness bound holds for requests up to the declared cost.
-    return RouterError{
-        .status = 400,
-        .code = "request_too_costly",
-        .message = fmt::format("the request may cost {:.0f} units, and limits.largest_request_cost "
-                               "is {:.0f}; send a shorter prompt or a lower max_tokens",
-                               largest, this->configuration->limits.largest_request_cost)};
-  }
-  this->caller = admission::CallerName(HeaderOrEmpty(request, admission::kCallerHeader),
-                                       this->body.user, request.remote_address);
-  this->estimated_cost = this->board.estimator.Estimate(
-      {this->resolution.workspace->id, this->resolution.request_class->id,
-       this->resolution.upstream->id},
-      units, this->body.input_tokens, this->body.maximum_tokens);
-  this->series = &this->board.metrics.FindSeries(this->resolution.workspace->name,
-                                                 this->resolution.request_class->name);
-  if (auto* record = this->board.recent.Find(this->id)) {
-    record->workspace = this->resolution.workspace->name;
-    record->request_class = this->resolution.request_class->name;
-    record->upstream = this->resolution.upstream->name;
-    record->generation = this->configuration->generation;
-  }
-  this->fingerprint = admission::FingerprintOf(this->resolution.workspace->name, request.method,
-                                               request.target, request.body);
-  return this->JudgeFingerprint();
-}
-
-std::optional<RouterError> RequestFlow::JudgeFingerprint() const {
-  const auto verdict = this->board.crashes->Judge(this->board.clock.now(), this->fingerprint);
-  if (verdict != admission::CrashVerdict::kQuarantined) {
-    return std::nullopt;
-  }
-  return RouterError{
-      .status = 422,
-      .code = "quarantined",
-      .message =
-          "this request was running on several upstream processes when they crashed; it is "
-          "refused for up to 10 minutes. Change the request, or ask the operator to clear "
-          "its quarantine",
-      .outcome = this->any_byte_sent ? Outcome::kUnknown : Outcome::kNotRun};
-}
-
-asio::awaitable<bool> RequestFlow::WaitForVerdict() {
-  using admission::CrashVerdict;
-  const auto deadline = this->received + this->configuration->limits.queue_timeout;
-  while (this->board.clock.now() < deadline) {
-    const auto verdict = this->board.crashes->Judge(this->board.clock.now(), this->fingerprint);
-    const bool wait = verdict == CrashVerdict::kPending ||
-                      (verdict == CrashVerdict::kRunAlone && this->OtherSuspectRuns());
-    if (!wait) {
-      break;
-    }
-    co_await Sleep(kVerdictPoll);
-  }
-  if (auto error = this->JudgeFingerprint()) {
-    co_await this->Respond(std::move(*error));
-    co_return false;
-  }
-  co_return true;
-}
-
-// Two suspects of this router never run at once, so that an innocent one is not counted again in
-// the next crash of the other.
-bool RequestFlow::OtherSuspectRuns() const {
-  for (const auto& [id, request] : this->board.running) {
-    const bool other = id != this->number && request.fingerprint != this->fingerprint;
-    if (other && this->board.crashes->MustRunAlone(this->board.clock.now(), request.fingerprint)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-asio::awaitable<bool> RequestFlow::BeginClaim() {
-  const auto key = this->exchange.request().FindHeader(kIdempotencyHeader);
-  if (!key) {
-    RouterError error = {.status = 400,
-                         .code = "idempotency_key_required",
-                         .message =
-                             "this route runs a request at most once; send the header "
-                             "Idempotency-Key with a value of your own for each booking"};
-    co_await this->Respond(std::move(error));
-    co_return false;
-  }
-  auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor,
-                                                    asio::steady_timer::time_point::max());
-  auto result = std::make_shared<std::optional<claims::BeginResult>>();
-  const auto& request = this->exchange.request();
-  const auto hash =
-      admission::ToHex(admission::Sha256OfParts({request.method, request.target, request.body}));
-  this->services.claims.Begin(this->board.clock.now(), this->resolution.workspace->name, *key, hash,
-                              [timer, result](claims::BeginResult begun) {
-                                *result = std::move(begun);
-                                timer->cancel();
-                              });
-  if (!*result) {
-    co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-  auto& begun = **result;
-  if (begun.verdict == claims::ClaimVerdict::kProceed) {
-    this->claim = std::move(begun.claim);
-    this->Step("claim written");
-    co_return true;
-  }
-  if (begun.verdict == claims::ClaimVerdict::kAnsweredBefore) {
-    auto response = Replay(std::move(*begun.answer));
-    response.headers.push_back({std::string(kRequestIdHeader), this->id});
-    response.headers.push_back({std::string(admission::kOutcomeHeader),
-                                std::string(admission::HeaderValue(Outcome::kAnswered))});
-    const auto status = response.status;
-    std::ignore = co_await this->exchange.Respond(std::move(response));
-    this->Step("answered before; recorded response replayed");
-    this->Conclude(status, Outcome::kAnswered);
-    co_return false;
-  }
-  const bool unknown = begun.verdict == claims::ClaimVerdict::kRunningOrUnknown;
-  RouterError error = {.status = claims::StatusOf(begun.verdict),
-                       .code = "claim_refused",
-                       .message = begun.message,
-                       .outcome = unknown ? Outcome::kUnknown : Outcome::kNotRun};
-  if (error.status == 503) {
-    error.retry_after = std::chrono::seconds(2);
-  }
-  co_await this->Respond(std::move(error));
-  co_return false;
-}
-
 scheduling::QueuedRequest RequestFlow::MakeQueued() {
   const auto now = this->board.clock.now();
   return {.id = this->number,
@@ -487,106 +285,6 @@
   }
 }
 
-asio::awaitable<RequestFlow::NextStep> RequestFlow::Answered(AttemptResult result) {
-  NoteSuccess(this->board, this->fingerprint);
-  this->board.estimator.Record(
-      {this->queued.key.workspace, this->queued.key.request_class, this->queued.key.upstream},
-      this->attempt_cost);
-  unsigned status = 200;
-  std::optional<claims::RecordedAnswer> recorded;
-  if (result.response) {
-    status = result.response->status;
-    recorded = Record(*result.response);
-    auto response = std::move(*result.response);
-    response.headers.push_back({std::string(kRequestIdHeader), this->id});
-    response.headers.push_back({std::string(admission::kOutcomeHeader),
-                                std::string(admission::HeaderValue(Outcome::kAnswered))});
-    this->SettleClaim(Outcome::kAnswered, std::move(recorded));
-    std::ignore = co_await this->exchange.Respond(std::move(response));
-  } else {
-    this->SettleClaim(Outcome::kAnswered, std::nullopt);
-  }
-  this->Conclude(status, Outcome::kAnswered);
-  co_return NextStep::kDone;
-}
-
-asio::awaitable<void> RequestFlow::Fail(unsigned status, std::string_view code,
-                                        std::string message) {
-  if (this->progress.started) {
-    // The caller sees the end of the connection before the end of the body.
-    this->exchange.Abort();
-    this->Conclude(status, Outcome::kUnknown);
-    co_return;
-  }
-  RouterError error = {.status = status, .code = std::string(code), .message = std::move(message)};
-  error.outcome = this->any_byte_sent ? Outcome::kUnknown : Outcome::kNotRun;
-  if (status == 503) {
-    error.retry_after = this->board.queues.RetryAfter(this->queued.key, this->board.clock.now());
-  }
-  co_await this->Respond(std::move(error));
-}
-
-asio::awaitable<void> RequestFlow::Respond(RouterError error) {
-  if (this->progress.started) {
-    this->exchange.Abort();
-  } else {
-    this->Step(error.message);
-    auto response = MakeErrorResponse(error, this->id);
-    std::ignore = co_await this->exchange.Respond(std::move(response));
-  }
-  this->Conclude(error.status, error.outcome);
-}
-
-void RequestFlow::SettleClaim(Outcome outcome, std::optional<claims::RecordedAnswer> answer) {
-  if (!this->claim) {
-    return;
-  }
-  const auto now = this->board.clock.now();
-  if (outcome == Outcome::kNotRun) {
-    this->services.claims.MarkNotRun(now, *this->claim);
-  } else {
-    this->services.claims.Finish(now, *this->claim, outcome, std::move(answer));
-  }
-  this->claim.reset();
-}
-
-void RequestFlow::Conclude(unsigned status, Outcome outcome) {
-  if (this->concluded) {
-    return;
-  }
-  this->concluded = true;
-  this->SettleClaim(outcome, std::nullopt);
-  const auto outcome_name = admission::HeaderValue(outcome);
-  const auto workspace = this->resolution.workspace != nullptr
-                             ? std::string_view(this->resolution.workspace->name)
-                             : std::string_view("none");
-  if (this->series != nullptr) {
-    this->series->Record(metrics::Quantity::kWholeTime, this->SecondsSince(this->received));
-    this->series->Record(metrics::Quantity::kCost, this->total_cost);
-  }
-  this->board.metrics
-      .FindCounter("pomelospar_requests_total", "Requests by workspace and outcome.",
-                   {{"workspace", workspace}, {"outcome", outcome_name}})
-      .Add();
-  auto* record = this->board.recent.Find(this->id);
-  if (record != nullptr) {
-    record->outcome = outcome_name;
-    record->status = status;
-  }
-  this->board.log->Write(
-      core::LogLevel::kInfo, "request finished",
-      {{"request", std::string_view(this->id)},
-       {"workspace", workspace},
-       {"class", record != nullptr ? std::string_view(record->request_class) : std::string_view()},
-       {"upstream", record != nullptr ? std::string_view(record->upstream) : std::string_view()},
-       {"status", static_cast<std::uint64_t>(status)},
-       {"outcome", outcome_name},
-       {"attempts", static_cast<std::uint64_t>(this->attempts)},
-       {"cost", this->total_cost},
-       {"seconds", this->SecondsSince(this->received)},
-       {"generation", this->configuration != nullptr ? this->configuration->generation : 0}});
-}
-
 void RequestFlow::OnDisconnect() {
   CancelRequest(this->board, this->number);
   if (this->slot_timer != nullptr) {
--- a/services/pomelospard/request_flow.h
+++ b/services/pomelospard/request_flow.h
@@ -37,6 +37,9 @@
   boost::asio::awaitable<void> Run();
 
  private:
+  // A verdict about a crash takes up to 500 ms, until the reports of other routers have arrived.
+  static constexpr core::Duration kVerdictPoll = std::chrono::milliseconds(50);
+
   enum class NextStep { kDone, kRetry };
 
   // Admission: each returns an error to respond with, or nothing.
--- /dev/null
+++ b/services/pomelospard/request_flow_ending.cc
@@ -0,0 +1,126 @@
+// The end of a request: its response, its claim and what is recorded of it.
+#include <tuple>
+#include <utility>
+
+#include "services/pomelospard/crash_controller.h"
+#include "services/pomelospard/request_flow.h"
+
+namespace pomelospar::daemon {
+namespace {
+
+namespace asio = boost::asio;
+using admission::Outcome;
+
+claims::RecordedAnswer Record(const http::HttpResponse& response) {
+  claims::RecordedAnswer answer;
+  answer.status = response.status;
+  answer.body = response.body;
+  for (const auto& header : response.headers) {
+    answer.headers.emplace_back(header.name, header.value);
+  }
+  return answer;
+}
+
+}  // namespace
+
+asio::awaitable<RequestFlow::NextStep> RequestFlow::Answered(AttemptResult result) {
+  NoteSuccess(this->board, this->fingerprint);
+  this->board.estimator.Record(
+      {this->queued.key.workspace, this->queued.key.request_class, this->queued.key.upstream},
+      this->attempt_cost);
+  unsigned status = 200;
+  std::optional<claims::RecordedAnswer> recorded;
+  if (result.response) {
+    status = result.response->status;
+    recorded = Record(*result.response);
+    auto response = std::move(*result.response);
+    response.headers.push_back({std::string(kRequestIdHeader), this->id});
+    response.headers.push_back({std::string(admission::kOutcomeHeader),
+                                std::string(admission::HeaderValue(Outcome::kAnswered))});
+    this->SettleClaim(Outcome::kAnswered, std::move(recorded));
+    std::ignore = co_await this->exchange.Respond(std::move(response));
+  } else {
+    this->SettleClaim(Outcome::kAnswered, std::nullopt);
+  }
+  this->Conclude(status, Outcome::kAnswered);
+  co_return NextStep::kDone;
+}
+
+asio::awaitable<void> RequestFlow::Fail(unsigned status, std::string_view code,
+                                        std::string message) {
+  if (this->progress.started) {
+    // The caller sees the end of the connection before the end of the body.
+    this->exchange.Abort();
+    this->Conclude(status, Outcome::kUnknown);
+    co_return;
+  }
+  RouterError error = {.status = status, .code = std::string(code), .message = std::move(message)};
+  error.outcome = this->any_byte_sent ? Outcome::kUnknown : Outcome::kNotRun;
+  if (status == 503) {
+    error.retry_after = this->board.queues.RetryAfter(this->queued.key, this->board.clock.now());
+  }
+  co_await this->Respond(std::move(error));
+}
+
+asio::awaitable<void> RequestFlow::Respond(RouterError error) {
+  if (this->progress.started) {
+    this->exchange.Abort();
+  } else {
+    this->Step(error.message);
+    auto response = MakeErrorResponse(error, this->id);
+    std::ignore = co_await this->exchange.Respond(std::move(response));
+  }
+  this->Conclude(error.status, error.outcome);
+}
+
+void RequestFlow::SettleClaim(Outcome outcome, std::optional<claims::RecordedAnswer> answer) {
+  if (!this->claim) {
+    return;
+  }
+  const auto now = this->board.clock.now();
+  if (outcome == Outcome::kNotRun) {
+    this->services.claims.MarkNotRun(now, *this->claim);
+  } else {
+    this->services.claims.Finish(now, *this->claim, outcome, std::move(answer));
+  }
+  this->claim.reset();
+}
+
+void RequestFlow::Conclude(unsigned status, Outcome outcome) {
+  if (this->concluded) {
+    return;
+  }
+  this->concluded = true;
+  this->SettleClaim(outcome, std::nullopt);
+  const auto outcome_name = admission::HeaderValue(outcome);
+  const auto workspace = this->resolution.workspace != nullptr
+                             ? std::string_view(this->resolution.workspace->name)
+                             : std::string_view("none");
+  if (this->series != nullptr) {
+    this->series->Record(metrics::Quantity::kWholeTime, this->SecondsSince(this->received));
+    this->series->Record(metrics::Quantity::kCost, this->total_cost);
+  }
+  this->board.metrics
+      .FindCounter("pomelospar_requests_total", "Requests by workspace and outcome.",
+                   {{"workspace", workspace}, {"outcome", outcome_name}})
+      .Add();
+  auto* record = this->board.recent.Find(this->id);
+  if (record != nullptr) {
+    record->outcome = outcome_name;
+    record->status = status;
+  }
+  this->board.log->Write(
+      core::LogLevel::kInfo, "request finished",
+      {{"request", std::string_view(this->id)},
+       {"workspace", workspace},
+       {"class", record != nullptr ? std::string_view(record->request_class) : std::string_view()},
+       {"upstream", record != nullptr ? std::string_view(record->upstream) : std::string_view()},
+       {"status", static_cast<std::uint64_t>(status)},
+       {"outcome", outcome_name},
+       {"attempts", static_cast<std::uint64_t>(this->attempts)},
+       {"cost", this->total_cost},
+       {"seconds", this->SecondsSince(this->received)},
+       {"generation", this->configuration != nullptr ? this->configuration->generation : 0}});
+}
+
+}  // namespace pomelospar::daemon
--- a/services/pomelospard/runner_controller.cc
+++ b/services/pomelospard/runner_controller.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "libraries/membership/rendezvous.h"
 #include "services/pomelospard/notice_controller.h"
 
 namespace pomelospar::daemon {
@@ -19,8 +20,8 @@
 // Renewed by the router that polls the runner; ends by itself if that router is gone.
 constexpr core::Duration kDownLifetime = seconds(10);
 
-// A drain holds until an operator ends it; the board needs some lifetime.
-constexpr core::Duration kDrainLifetime = hours(24 * 30);
+// A drain holds until an operator ends it. The board caps lifetimes at 24 h, so drains are renewed.
+constexpr core::Duration kDrainLifetime = hours(24);
 
 notices::Fact LeavingFact(std::string_view address, std::string_view incarnation) {
   return {.kind = wire::NOTICE_RUNNER_LEAVING,
@@ -127,6 +128,23 @@
   return core::Success();
 }
 
+void RenewDrains(Blackboard& board) {
+  auto routers = board.members->LiveMembers();
+  routers.push_back(board.self);
+  for (const auto& [id, runner] : board.runners.entries()) {
+    const auto drain = board.notices->Find(wire::NOTICE_RUNNER_DRAINED, runner.address,
+                                           std::string_view(), board.clock.now());
+    if (!drain) {
+      continue;
+    }
+    // One router renews, so that a renewal is sent once.
+    const auto order = membership::RendezvousOrder(core::Raw(id), routers);
+    if (order.front() == board.self) {
+      PublishFact(board, DrainFact(runner.address), kDrainLifetime);
+    }
+  }
+}
+
 std::vector<runners::RunnerEntry> RunnersToPoll(const Blackboard& board) {
   std::vector<runners::RunnerEntry> polled;
   for (const auto& [shard, runners] : board.shards) {
--- a/services/pomelospard/runner_controller.h
+++ b/services/pomelospard/runner_controller.h
@@ -32,6 +32,10 @@
 core::Result<void> DrainRunner(Blackboard& board, std::string_view address);
 core::Result<void> UndrainRunner(Blackboard& board, std::string_view address);
 
+/// Publishes drains again before they end. To be called every minute or so; does nothing while a
+/// drain has half of its lifetime left.
+void RenewDrains(Blackboard& board);
+
 /// The runners whose load this router polls: those of the shards that it allocates, and those that
 /// are marked down in its domain.
 std::vector<runners::RunnerEntry> RunnersToPoll(const Blackboard& board);
