--- a/libraries/transport/control_transport.h
+++ b/libraries/transport/control_transport.h
@@ -55,12 +55,13 @@
   using ReceiveFunction = std::function<void(std::string datagram)>;
 
   /// Errors: `kInvalidArgument` for a bad address, `kUnavailable` if it cannot be listened on.
-  static core::Result<std::unique_ptr<ControlTransport>> Create(TransportOptions options,
+  static core::Result<std::unique_ptr<ControlTransport>> Create(const TransportOptions& options,
                                                                 ReceiveFunction receive);
 
   ControlTransport(const ControlTransport&) = delete;
   ControlTransport& operator=(const ControlTransport&) = delete;
-  /// Closes all connections; `receive` is not called after it returned.
+  /// Closes the connections to peers; `receive` is not called after it returned. The listener keeps
+  /// its port until the process exits, see the implementation.
   ~ControlTransport();
 
   /// Hands the datagram to the connection of this peer, which is made on the first send. Returns
