Daemon: Give large answers their outcome and keep router headers own

An answer above 64 KiB with a Content-Length had no outcome at all; it is chunked now, with the outcome as trailer. Headers of an upstream that state the router's own facts are dropped. Readiness, platform, waiting requests and quarantines are metrics, so that alarms need no status call.

--- a/services/pomelospard/daemon.cc
+++ b/services/pomelospard/daemon.cc
@@ -446,6 +446,14 @@
       this->board->configuration != nullptr
           ? static_cast<double>(this->board->configuration->generation)
           : 0.0);
+  set("pomelospar_ready", "1 while this router takes requests.",
+      this->board->lifecycle == Lifecycle::kServing ? 1.0 : 0.0);
+  set("pomelospar_platform_reachable", "1 if the last read of the instance list succeeded.",
+      this->board->platform_reachable ? 1.0 : 0.0);
+  set("pomelospar_waiting_requests", "Requests that wait for a slot at this router.",
+      static_cast<double>(this->board->waiting.size()));
+  set("pomelospar_quarantined_requests", "Fingerprints in quarantine.",
+      static_cast<double>(this->board->crashes->Quarantined().size()));
   for (std::size_t reason = 0; reason < wire::kRejectReasons; ++reason) {
     const auto kind = static_cast<wire::RejectReason>(reason);
     metrics
--- a/services/pomelospard/upstream_attempt.cc
+++ b/services/pomelospard/upstream_attempt.cc
@@ -51,8 +51,20 @@
                              : admission::ResponseFormat::kJson;
 }
 
-std::vector<http::HttpHeader> ResponseHeaders(const Attempt& attempt) {
+// Headers with this prefix are statements of the router, which an upstream must not make for it.
+bool IsRouterHeader(const http::HttpHeader& header) {
+  constexpr std::string_view kPrefix = "Pomelospar-";
+  return http::EqualsIgnoringCase(std::string_view(header.name).substr(0, kPrefix.size()), kPrefix);
+}
+
+std::vector<http::HttpHeader> UpstreamHeaders(const Attempt& attempt) {
   auto headers = http::RelayableHeaders(attempt.head.headers);
+  std::erase_if(headers, IsRouterHeader);
+  return headers;
+}
+
+std::vector<http::HttpHeader> ResponseHeaders(const Attempt& attempt) {
+  auto headers = UpstreamHeaders(attempt);
   headers.insert(headers.end(), attempt.input.response_headers.begin(),
                  attempt.input.response_headers.end());
   return headers;
@@ -65,11 +77,11 @@
   attempt.progress.started = true;
   http::ResponseHead head = attempt.head;
   head.headers = ResponseHeaders(attempt);
-  // The outcome of a stream is known only at its end, so it follows the body as a trailer.
-  if (!head.content_length) {
-    head.chunked = true;
-    head.headers.push_back({"Trailer", std::string(admission::kOutcomeHeader)});
-  }
+  // The outcome of a stream is known only at its end, so it follows the body as a trailer, which
+  // only a chunked body can have.
+  head.content_length.reset();
+  head.chunked = true;
+  head.headers.push_back({"Trailer", std::string(admission::kOutcomeHeader)});
   co_return co_await attempt.exchange.StartStream(std::move(head));
 }
 
@@ -151,9 +163,9 @@
   attempt.hooks.on_cost(attempt.cost.cost());
   http::HttpResponse response;
   response.status = attempt.head.status;
-  response.headers = http::RelayableHeaders(attempt.head.headers);
+  response.headers = UpstreamHeaders(attempt);
   response.body = std::move(body);
-  // The caller's copy is sent after a claim was recorded, by the request handler.
+  // The request flow sends the response, because a claim may have to be settled with it.
   co_return AttemptResult{.end = AttemptEnd::kAnswered, .response = std::move(response)};
 }
 
--- a/tests/system/test_request_path.py
+++ b/tests/system/test_request_path.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import unittest
 
 import fleet as f
@@ -15,7 +16,8 @@
         cls.addClassCleanup(cls.fleet.stop)
         cls.fleet.start_platform()
         domains = ["a", "b", "c"]
-        cls.engines = cls.fleet.start_runners("engine_stand_in", "engine", domains, 4)
+        cls.engines = cls.fleet.start_runners(
+            "engine_stand_in", "engine", domains, 4, "--token_ms=0.5")
         cls.services = cls.fleet.start_runners("service_stand_in", "service", ["a"], 8)
         cls.routers = cls.fleet.start_routers(domains)
         upstreams = [f.engine_upstream(cls.engines), f.service_upstream(cls.services)]
@@ -48,6 +50,28 @@
             self.assertIn(b"n-17", content)
             self.assertTrue(content.endswith(b"data: [DONE]\n\n"), content[-80:])
 
+    # Guards against a large answer without an outcome, and against an upstream that states the
+    # router's outcome itself.
+    def test_outcome_of_a_large_answer_is_a_trailer(self):
+        raw = self.raw_post(self.routers[0], "/v1/chat/completions", f.chat_body("x", 9900))
+        head, _, rest = raw.partition(b"\r\n\r\n")
+        self.assertIn(b"200 OK", head)
+        self.assertNotIn(b"pomelospar-runner-incarnation", head.lower())
+        self.assertTrue(rest.lower().endswith(b"0\r\npomelospar-outcome: answered\r\n\r\n"), rest[-90:])
+
+    def raw_post(self, router, path, body):
+        ip, port = router.caller.split(":")
+        data = json.dumps(body).encode()
+        with socket.create_connection((ip, int(port)), timeout=60) as connection:
+            connection.sendall((
+                f"POST {path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n"
+                f"Authorization: Bearer {f.api_key('atlas')}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
+            received = b""
+            while piece := connection.recv(65536):
+                received += piece
+        return received
+
     # Guards against a plain service that is not reached, or that sees the caller's API key.
     def test_plain_service(self):
         status, headers, content = self.routers[1].post("/orders/7", {"towels": 40}, "atlas")
@@ -110,7 +134,7 @@
         router = self.routers[2]
         ip, port = router.caller.split(":")
         connection = http.client.HTTPConnection(ip, int(port), timeout=10)
-        body = json.dumps(f.chat_body("x", 5000, stream=True))
+        body = json.dumps(f.chat_body("x", 9900, stream=True))
         connection.request(
             "POST", "/v1/chat/completions", body,
             {"Authorization": f"Bearer {f.api_key('atlas')}", "Content-Type": "application/json"},
