--- a/tests/libraries/scheduling/slot_allocator_test.cc
+++ b/tests/libraries/scheduling/slot_allocator_test.cc
@@ -271,6 +271,40 @@
   EXPECT_EQ(this->allocator.outstanding_grants(), 0) << "router silent for 5 s";
 }
 
+// Guards against grants in use that are reclaimed though they are renewed, and renewals that never
+// restore what the allocator forgot.
+TEST_F(SlotAllocatorRules, RenewalsKeepGrantsAndAskForWhatIsMissing) {
+  wire::Demand demand;
+  demand.set_sequence(1);
+  demand.set_full(true);
+  demand.add_held()->set_grant(7);
+  this->allocator.Receive(RouterOf(0), demand, this->now);
+  EXPECT_FALSE(this->allocator.Decide(this->now).acknowledgements[0].message.full_wanted());
+  const auto renew = [this](std::uint64_t sequence) {
+    wire::Demand renewal;
+    renewal.set_sequence(sequence);
+    renewal.set_answer(true);
+    auto* held = renewal.add_held();
+    held->set_grant(7);
+    held->set_renew(true);
+    this->allocator.Receive(RouterOf(0), renewal, this->now);
+    return this->allocator.Decide(this->now).acknowledgements.at(0).message.full_wanted();
+  };
+  for (std::uint64_t count = 2; count < 12; ++count) {
+    this->now += seconds(1);
+    EXPECT_FALSE(renew(count));
+    this->allocator.Tick(this->now);
+    ASSERT_EQ(this->allocator.outstanding_grants(), 1);
+  }
+  this->allocator.RemoveRouter(RouterOf(0));
+  EXPECT_TRUE(renew(12));
+  EXPECT_EQ(this->allocator.outstanding_grants(), 0) << "a renewal does not tell the workspace";
+  demand.set_sequence(13);
+  this->allocator.Receive(RouterOf(0), demand, this->now);
+  EXPECT_FALSE(this->allocator.Decide(this->now).acknowledgements[0].message.full_wanted());
+  EXPECT_EQ(this->allocator.outstanding_grants(), 1);
+}
+
 // Guards against new work for a runner that is leaving, drained or down.
 TEST_F(SlotAllocatorRules, UnusableRunnerGetsNoGrant) {
   this->now += kRebuildTime;
