--- a/services/pomelospard/message_dispatcher.cc
+++ b/services/pomelospard/message_dispatcher.cc
@@ -1,5 +1,6 @@
 #include "services/pomelospard/message_dispatcher.h"
 
+#include "services/pomelospard/ledger_controller.h"
 #include "services/pomelospard/notice_controller.h"
 #include "services/pomelospard/scheduling_controller.h"
 
@@ -23,6 +24,8 @@
       return "demand_ack";
     case wire::Message::kServiceReport:
       return "service_report";
+    case wire::Message::kDomainReport:
+      return "domain_report";
     case wire::Message::kLedgerRequest:
       return "ledger_request";
     case wire::Message::kLedgerRows:
@@ -68,6 +71,9 @@
     case wire::Message::kServiceReport:
       HandleServiceReport(board, sender, message.service_report());
       return;
+    case wire::Message::kDomainReport:
+      HandleDomainReport(board, sender, message.domain_report());
+      return;
     case wire::Message::kLedgerRequest:
       HandleLedgerRequest(board, sender);
       return;
