--- a/libraries/scheduling/demand_planner.cc
+++ b/libraries/scheduling/demand_planner.cc
@@ -335,6 +335,15 @@
   }
 }
 
+void DemandPlanner::AddHeld(std::uint64_t grant, const HeldState& state, wire::Demand& demand) {
+  auto* held = demand.add_held();
+  held->set_grant(grant);
+  held->set_workspace(core::Raw(state.key.workspace));
+  held->set_request_class(core::Raw(state.key.request_class));
+  held->set_runner(core::Raw(state.runner));
+  held->set_estimated_cost(state.estimated_cost);
+}
+
 wire::Demand DemandPlanner::FullDemand(Link& link, const std::map<RowKey, SentRow>& rows) {
   std::map<RowKey, double> charged;
   wire::Demand demand;
@@ -342,12 +351,7 @@
   demand.set_sequence(++link.sequence);
   demand.set_full(true);
   for (const auto& [grant, state] : link.held) {
-    auto* held = demand.add_held();
-    held->set_grant(grant);
-    held->set_workspace(core::Raw(state.key.workspace));
-    held->set_request_class(core::Raw(state.key.request_class));
-    held->set_runner(core::Raw(state.runner));
-    held->set_estimated_cost(state.estimated_cost);
+    AddHeld(grant, state, demand);
     charged[{state.key.workspace, state.key.request_class}] += state.charged;
   }
   const auto add = [&demand](const RowKey& key, const SentRow& row, double running_charged) {
@@ -403,13 +407,7 @@
     message->set_running_charged(charged[key]);
   }
   for (const auto grant : link.unconfirmed) {
-    const auto& state = link.held.at(grant);
-    auto* held = demand.add_held();
-    held->set_grant(grant);
-    held->set_workspace(core::Raw(state.key.workspace));
-    held->set_request_class(core::Raw(state.key.request_class));
-    held->set_runner(core::Raw(state.runner));
-    held->set_estimated_cost(state.estimated_cost);
+    AddHeld(grant, link.held.at(grant), demand);
   }
   return demand;
 }
--- a/libraries/scheduling/demand_planner.h
+++ b/libraries/scheduling/demand_planner.h
@@ -145,6 +145,7 @@
   /// The period of full demand that keeps within `kFullDemandBytesPerSecond`.
   core::Duration FullPeriod() const;
   void Rotate(core::TimePoint now);
+  static void AddHeld(std::uint64_t grant, const HeldState& state, wire::Demand& demand);
   wire::Demand FullDemand(Link& link, const std::map<RowKey, SentRow>& rows);
   wire::Demand ChangedDemand(Link& link);
   void Answered(Link& link, const core::RouterIdentity& sender, core::TimePoint now);
--- a/libraries/scheduling/service_ledger.cc
+++ b/libraries/scheduling/service_ledger.cc
@@ -218,16 +218,7 @@
       return index < state.counters.size() ? state.counters[index] : 0.0;
     });
   }
-  for (const auto& [domain, values] : this->sums) {
-    if (domain != this->own_domain) {
-      this->AppendSums(
-          domain,
-          [&values = values.reported](std::size_t index) {
-            return index < values.size() ? values[index] : 0.0;
-          },
-          rows_per_part, parts);
-    }
-  }
+  this->AppendForeignSums(rows_per_part, parts);
   if (parts.empty()) {
     // An empty ledger is a valid answer: it tells the receiver that there is no base to wait for.
     parts.emplace_back().set_base(true);
--- a/libraries/scheduling/service_ledger.h
+++ b/libraries/scheduling/service_ledger.h
@@ -224,6 +224,8 @@
   void MergeSum(core::DomainId domain, core::WorkspaceId workspace, double sum);
   void AppendSums(core::DomainId domain, const std::function<double(std::size_t)>& sum_of,
                   std::size_t rows_per_part, std::vector<wire::LedgerRows>& parts) const;
+  /// The sums of all other domains.
+  void AppendForeignSums(std::size_t rows_per_part, std::vector<wire::LedgerRows>& parts) const;
   void AdoptBase(const PendingState& pending, core::TimePoint now);
   void MarkFolded(std::uint64_t incarnation, core::TimePoint now);
 
--- a/libraries/scheduling/service_ledger_sums.cc
+++ b/libraries/scheduling/service_ledger_sums.cc
@@ -105,11 +105,8 @@
   }
 }
 
-std::vector<wire::LedgerRows> ServiceLedger::SumState(std::size_t rows_per_part) const {
-  std::vector<wire::LedgerRows> parts;
-  this->AppendSums(
-      this->own_domain, [this](std::size_t index) { return this->workspaces[index].domain_sum; },
-      rows_per_part, parts);
+void ServiceLedger::AppendForeignSums(std::size_t rows_per_part,
+                                      std::vector<wire::LedgerRows>& parts) const {
   for (const auto& [domain, values] : this->sums) {
     if (domain != this->own_domain) {
       this->AppendSums(
@@ -120,6 +117,14 @@
           rows_per_part, parts);
     }
   }
+}
+
+std::vector<wire::LedgerRows> ServiceLedger::SumState(std::size_t rows_per_part) const {
+  std::vector<wire::LedgerRows> parts;
+  this->AppendSums(
+      this->own_domain, [this](std::size_t index) { return this->workspaces[index].domain_sum; },
+      rows_per_part, parts);
+  this->AppendForeignSums(rows_per_part, parts);
   if (parts.empty()) {
     parts.emplace_back().set_domain(core::Raw(this->own_domain));
   }
--- a/meta/measure.py
+++ b/meta/measure.py
@@ -31,9 +31,16 @@
     "atlas": {"routers": "aabbccc", "runners": "aaaabbbccc", "tokens": "uniform:10:60"},
     "kalahari": {"routers": "aabbcc", "runners": "aaabbbbccc", "tokens": "exponential:40:5:120"},
 }
+# For all other measures a lower value is better.
+HIGHER_IS_BETTER = {"utilisation", "flood_kept_low", "flood_kept_high",
+                    "relay_events_per_core_second"}
 WORKSPACES = [f"w{index:02}" for index in range(16)]
 
 
+def meets(measure, value, bound):
+    return value >= bound if measure in HIGHER_IS_BETTER else value <= bound
+
+
 class Recorder:
     def __init__(self, path, runs):
         self.path, self.runs, self.lines = pathlib.Path(path), runs, []
@@ -49,6 +56,7 @@
             "value": round(statistics.median(values), 4),
             "unit": unit,
             "bound": bound,
+            "met": None if bound is None else meets(measure, statistics.median(values), bound),
             "baseline_name": baseline_name,
             "baseline_value": None if baseline is None else round(statistics.median(baseline), 4),
             "runs": len(values),
--- a/services/pomelospard/upstream_attempt.cc
+++ b/services/pomelospard/upstream_attempt.cc
@@ -113,6 +113,17 @@
   return core::Success();
 }
 
+// The next piece of the body with its cost charged; nothing at the end of the body.
+asio::awaitable<core::Result<std::optional<std::string>>> ReadCounted(Attempt& attempt) {
+  auto piece = co_await attempt.connection.ReadPiece(attempt.input.route->idle_timeout);
+  if (piece && piece.value()) {
+    if (auto counted = Count(attempt, *piece.value()); !counted) {
+      co_return counted.error();
+    }
+  }
+  co_return piece;
+}
+
 asio::awaitable<AttemptResult> FinishStream(Attempt& attempt) {
   attempt.cost.Finish();
   attempt.hooks.on_cost(attempt.cost.cost());
@@ -129,16 +140,13 @@
   auto& buffer = attempt.progress.buffer;
   buffer.DropRest();
   while (true) {
-    auto piece = co_await attempt.connection.ReadPiece(attempt.input.route->idle_timeout);
+    auto piece = co_await ReadCounted(attempt);
     if (!piece) {
       co_return UpstreamError(attempt, piece.error());
     }
     if (!piece.value()) {
       break;
     }
-    if (auto counted = Count(attempt, *piece.value()); !counted) {
-      co_return UpstreamError(attempt, counted.error());
-    }
     const auto events = buffer.Append(*piece.value());
     if (auto relayed = co_await Relay(attempt, events); !relayed) {
       co_return Ended(AttemptEnd::kCallerGone, relayed.error());
@@ -172,16 +180,13 @@
 asio::awaitable<AttemptResult> RelayBody(Attempt& attempt) {
   std::string buffered;
   while (true) {
-    auto piece = co_await attempt.connection.ReadPiece(attempt.input.route->idle_timeout);
+    auto piece = co_await ReadCounted(attempt);
     if (!piece) {
       co_return UpstreamError(attempt, piece.error());
     }
     if (!piece.value()) {
       break;
     }
-    if (auto counted = Count(attempt, *piece.value()); !counted) {
-      co_return UpstreamError(attempt, counted.error());
-    }
     buffered += *piece.value();
     if (!attempt.progress.started && buffered.size() <= kBufferedResponseBytes) {
       continue;
