--- a/meta/mutants.py
+++ b/meta/mutants.py
@@ -75,6 +75,12 @@
            "         workspace.running / this->ledger->Share(workspace.id);",
            "return 0.0 * workspace.running * this->ledger->Share(workspace.id);", "test_fairness.py",
            "FairnessTest.test_gap_and_utilisation_with_skewed_entry"),
+    Mutant("flood_without_order", "a flooding workspace is ordered after others by its service",
+           "libraries/scheduling/slot_allocator_order.cc",
+           "return this->ledger->NormalisedService(workspace.id) +\n"
+           "         workspace.running / this->ledger->Share(workspace.id);",
+           "return 0.0 * workspace.running * this->ledger->Share(workspace.id);",
+           "test_flood.py", "FloodTest.test_flood_of_the_most_urgent_class"),
     Mutant("no_other_domains", "idle slots of other domains are used",
            "services/pomelospard/scheduling_controller.cc",
            "return upstream.cross_domain && !board.unreachable_domains.contains(domain);",
