Daemon: Make one piece wait for callbacks and state the router's headers

Behaviour is unchanged: test_request_path, test_configuration and two schedules of test_at_most_once pass.

--- a/services/pomelospard/configuration_requests.cc
+++ b/services/pomelospard/configuration_requests.cc
@@ -1,9 +1,6 @@
 #include "services/pomelospard/configuration_requests.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -13,6 +10,7 @@
 
 #include "libraries/configuration/configuration_parser.h"
 #include "services/pomelospard/json_response.h"
+#include "services/pomelospard/pending.h"
 
 namespace pomelospar::daemon {
 namespace {
@@ -24,37 +22,6 @@
 constexpr std::uint32_t kDefaultHistory = 20;
 constexpr std::uint32_t kMaximumHistory = 100;
 
-/// Waits for a callback that runs once on the I/O thread.
-template <typename T>
-class Pending {
- public:
-  explicit Pending(const asio::any_io_executor& executor)
-      : state(std::make_shared<State>(executor)) {}
-
-  std::function<void(T)> Callback() const {
-    return [state = this->state](T value) {
-      state->value = std::move(value);
-      state->timer.cancel();
-    };
-  }
-
-  asio::awaitable<T> Wait() {
-    if (!this->state->value) {
-      co_await this->state->timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-    co_return std::move(*this->state->value);
-  }
-
- private:
-  struct State {
-    explicit State(const asio::any_io_executor& executor)
-        : timer(executor, asio::steady_timer::time_point::max()) {}
-    asio::steady_timer timer;
-    std::optional<T> value;
-  };
-  std::shared_ptr<State> state;
-};
-
 using Parsed = std::variant<configuration::SectionMap, std::vector<Diagnostic>>;
 
 Parsed ParseSections(const std::string& document, const std::string& file) {
--- a/services/pomelospard/refusal.h
+++ b/services/pomelospard/refusal.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libraries/admission/outcome.h"
 #include "libraries/http/message.h"
@@ -24,6 +25,10 @@
   std::optional<std::chrono::seconds> retry_after;
 };
 
+/// Adds what the router states about a response: its outcome and the request id.
+void AddRouterHeaders(std::vector<http::HttpHeader>& headers, admission::Outcome outcome,
+                      std::string_view request_id);
+
 /// The response with a JSON body `{"error":{"code","message"}}`, the outcome and the request id.
 http::HttpResponse MakeErrorResponse(const RouterError& error, std::string_view request_id);
 
--- a/services/pomelospard/request_flow_admission.cc
+++ b/services/pomelospard/request_flow_admission.cc
@@ -1,13 +1,12 @@
 // Admission of a request: who asks, where it goes, whether it may run, and its claim.
 #include <fmt/format.h>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <tuple>
 #include <utility>
 
 #include "libraries/admission/digest.h"
+#include "services/pomelospard/pending.h"
 #include "services/pomelospard/request_flow.h"
 #include "services/pomelospard/sleep.h"
 
@@ -160,21 +159,13 @@
     co_await this->Respond(std::move(error));
     co_return false;
   }
-  auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor,
-                                                    asio::steady_timer::time_point::max());
-  auto result = std::make_shared<std::optional<claims::BeginResult>>();
   const auto& request = this->exchange.request();
   const auto hash =
       admission::ToHex(admission::Sha256OfParts({request.method, request.target, request.body}));
+  Pending<claims::BeginResult> pending(co_await asio::this_coro::executor);
   this->services.claims.Begin(this->board.clock.now(), this->resolution.workspace->name, *key, hash,
-                              [timer, result](claims::BeginResult begun) {
-                                *result = std::move(begun);
-                                timer->cancel();
-                              });
-  if (!*result) {
-    co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-  auto& begun = **result;
+                              pending.Callback());
+  auto begun = co_await pending.Wait();
   if (begun.verdict == claims::ClaimVerdict::kProceed) {
     this->claim = std::move(begun.claim);
     this->Step("claim written");
@@ -182,9 +173,7 @@
   }
   if (begun.verdict == claims::ClaimVerdict::kAnsweredBefore) {
     auto response = Replay(std::move(*begun.answer));
-    response.headers.push_back({std::string(kRequestIdHeader), this->id});
-    response.headers.push_back({std::string(admission::kOutcomeHeader),
-                                std::string(admission::HeaderValue(Outcome::kAnswered))});
+    AddRouterHeaders(response.headers, Outcome::kAnswered, this->id);
     const auto status = response.status;
     std::ignore = co_await this->exchange.Respond(std::move(response));
     this->Step("answered before; recorded response replayed");
--- a/services/pomelospard/request_flow_ending.cc
+++ b/services/pomelospard/request_flow_ending.cc
@@ -34,9 +34,7 @@
     status = result.response->status;
     recorded = Record(*result.response);
     auto response = std::move(*result.response);
-    response.headers.push_back({std::string(kRequestIdHeader), this->id});
-    response.headers.push_back({std::string(admission::kOutcomeHeader),
-                                std::string(admission::HeaderValue(Outcome::kAnswered))});
+    AddRouterHeaders(response.headers, Outcome::kAnswered, this->id);
     this->SettleClaim(Outcome::kAnswered, std::move(recorded));
     std::ignore = co_await this->exchange.Respond(std::move(response));
   } else {
