Daemon: Look up the counters of control messages once for each kind

FindCounter built the labels twice for every control message sent; the registry asks hot paths to keep the handle. test_request_path passes (11 of 11).

--- a/services/pomelospard/daemon.cc
+++ b/services/pomelospard/daemon.cc
@@ -271,15 +271,7 @@
     return;
   }
   for (const auto& message : batch.messages) {
-    this->board->metrics
-        .FindCounter("pomelospar_control_message_bytes",
-                     "Bytes of control messages sent, by kind, without their envelopes.",
-                     {{"kind", KindName(message)}})
-        .Add(static_cast<double>(message.ByteSizeLong()));
-    this->board->metrics
-        .FindCounter("pomelospar_control_messages", "Control messages sent, by kind.",
-                     {{"kind", KindName(message)}})
-        .Add();
+    this->CountSent(message);
   }
   const auto datagram = this->sealer->Seal(batch.receiver, std::move(batch.messages));
   if (!datagram) {
@@ -290,6 +282,23 @@
   this->transport->Send(batch.receiver.address, datagram.value(), this->board->clock.now());
 }
 
+void Daemon::CountSent(const wire::Message& message) {
+  auto found = this->sent_counters.find(message.kind_case());
+  if (found == this->sent_counters.end()) {
+    auto& metrics = this->board->metrics;
+    const auto kind = KindName(message);
+    const SentCounters counters = {
+        metrics.FindCounter("pomelospar_control_messages", "Control messages sent, by kind.",
+                            {{"kind", kind}}),
+        metrics.FindCounter("pomelospar_control_message_bytes",
+                            "Bytes of control messages sent, by kind, without their envelopes.",
+                            {{"kind", kind}})};
+    found = this->sent_counters.emplace(message.kind_case(), counters).first;
+  }
+  found->second.messages.Add();
+  found->second.bytes.Add(static_cast<double>(message.ByteSizeLong()));
+}
+
 void Daemon::OnAdopted(const configuration::HeldPointer& held, bool committed_here) {
   auto& board = *this->board;
   auto authenticator = admission::Authenticator::Create(held->configuration);
--- a/services/pomelospard/daemon.h
+++ b/services/pomelospard/daemon.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -50,6 +51,11 @@
   // changes a day.
   static constexpr int kWorkerThreads = 1;
 
+  struct SentCounters {
+    metrics::Counter messages;
+    metrics::Counter bytes;
+  };
+
   Daemon() = default;
 
   core::Result<void> OpenControl();
@@ -62,6 +68,7 @@
   void OnDatagram(const std::string& datagram);
   void Flush();
   void SendBatch(Outbox::Batch batch);
+  void CountSent(const wire::Message& message);
   void OnAdopted(const configuration::HeldPointer& held, bool committed_here);
   void SendToPeer(const std::string& address, const wire::Message& message);
 
@@ -100,6 +107,8 @@
   std::unique_ptr<http::HttpServer> admin_server;
   std::string admin_token;
 
+  // Looked up once for each kind of message.
+  std::map<wire::Message::KindCase, SentCounters> sent_counters;
   core::TimePoint next_slow_tick{};
   core::TimePoint next_second{};
   core::TimePoint next_minute{};
