--- a/libraries/core/clock.h
+++ b/libraries/core/clock.h
@@ -15,6 +15,8 @@
 struct Clock {
   std::function<TimePoint()> now;
   std::function<WallTime()> wall;
+  /// Time since the host started, which goes on while the host is suspended; `now` may stand still.
+  std::function<Duration()> since_boot;
 };
 
 /// The clock of the operating system.
--- a/libraries/core/log.cc
+++ b/libraries/core/log.cc
@@ -63,6 +63,19 @@
       fmt::format("unknown log level \"{}\"; use debug, info, warning or error", name));
 }
 
+std::string FormatLogLine(LogLevel level, std::string_view message,
+                          std::initializer_list<LogField> fields) {
+  nlohmann::ordered_json object;
+  object["time"] = Timestamp();
+  object["level"] = LevelName(level);
+  object["message"] = message;
+  for (const auto& field : fields) {
+    std::visit([&](const auto& value) { object[std::string(field.key)] = value; }, field.value);
+  }
+  // Callers choose some field values, so bytes that are not UTF-8 are replaced instead of refused.
+  return object.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
 Log::Log(std::unique_ptr<State> state) : state(std::move(state)) {}
 
 Result<std::unique_ptr<Log>> Log::Create(LogLevel minimum_level) {
@@ -87,15 +100,7 @@
   if (level < this->state->minimum_level) {
     return;
   }
-  nlohmann::ordered_json object;
-  object["time"] = Timestamp();
-  object["level"] = LevelName(level);
-  object["message"] = message;
-  for (const auto& field : fields) {
-    std::visit([&](const auto& value) { object[std::string(field.key)] = value; }, field.value);
-  }
-  // Callers choose some field values, so bytes that are not UTF-8 are replaced instead of refused.
-  auto line = object.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  auto line = FormatLogLine(level, message, fields);
   if (!this->state->lines.try_push(std::move(line))) {
     this->state->dropped.fetch_add(1, std::memory_order_relaxed);
   }
--- /dev/null
+++ b/libraries/dispatch/admission.cc
@@ -0,0 +1,46 @@
+#include "libraries/dispatch/admission.h"
+
+#include <algorithm>
+
+namespace pomelospar::dispatch {
+namespace {
+
+// Share of the objective that the predicted first event may take; the rest is for the error of the
+// prediction.
+constexpr double kObjectiveShare = 0.8;
+// A prompt that takes long to read is admitted up to this share of the objective all the same.
+constexpr double kLeastQueueShare = 0.3;
+// A workspace beyond its share uses engines that would otherwise be nearly idle.
+constexpr double kBeyondShareFactor = 0.3;
+// A late answer is worth less to its caller than one in time to another.
+constexpr double kReturningFactor = 0.6;
+// Share of the objective, or of a returning caller's patience, for which a request may be held.
+constexpr int kHoldDivisor = 8;
+constexpr core::Duration kLongestReturningHold = std::chrono::milliseconds(800);
+// Callers follow a Retry-After of up to a third of the time that they have left.
+constexpr double kFollowedShare = 0.32;
+
+}  // namespace
+
+double AcceptedQueueMs(const EngineSpeed& speed, double tightest_objective_ms, double reading_ms,
+                       const Standing& standing) {
+  const double in_time =
+      kObjectiveShare * tightest_objective_ms - speed.first_event_ms - reading_ms;
+  double limit = std::max(in_time, kLeastQueueShare * tightest_objective_ms);
+  if (standing.beyond_share) limit *= kBeyondShareFactor;
+  if (standing.returning) limit *= kReturningFactor;
+  return limit;
+}
+
+core::Duration HoldLimit(core::Duration objective, core::Duration time_left,
+                         const Standing& standing) {
+  if (!standing.returning) return std::min(objective, time_left) / kHoldDivisor;
+  return std::min(time_left / kHoldDivisor, kLongestReturningHold);
+}
+
+core::Duration RetryAfter(core::Duration time_left, double draw) {
+  const double share = kFollowedShare * (0.5 + 0.5 * draw);
+  return std::chrono::duration_cast<core::Duration>(time_left * share);
+}
+
+}  // namespace pomelospar::dispatch
--- /dev/null
+++ b/libraries/dispatch/admission.h
@@ -0,0 +1,36 @@
+#ifndef POMELOSPAR_LIBRARIES_DISPATCH_ADMISSION_H_
+#define POMELOSPAR_LIBRARIES_DISPATCH_ADMISSION_H_
+
+#include "libraries/core/clock.h"
+#include "libraries/dispatch/engine_model.h"
+
+namespace pomelospar::dispatch {
+
+/// How a request stands when there is more work than the engines can do.
+struct Standing {
+  /// Its workspace has received its max-min share in the present window.
+  bool beyond_share = false;
+  /// Its caller comes back after a refusal, so that its objective is missed already.
+  bool returning = false;
+};
+
+/// The longest wait for earlier prompts at an engine that is accepted for a request, in
+/// milliseconds. Answers a load above what the engines read: all kinds of request get the same
+/// limit, from the tightest objective among them, or else the kind with the widest objective would
+/// fill the queues to a depth at which no other meets its own. A prompt that takes most of the
+/// objective to read keeps a part of the limit, so that large requests are not starved.
+double AcceptedQueueMs(const EngineSpeed& speed, double tightest_objective_ms, double reading_ms,
+                       const Standing& standing);
+
+/// How long a request may wait in the router for a runner before it is refused. Short, because a
+/// caller that knows soon can come back while its answer is still of use.
+core::Duration HoldLimit(core::Duration objective, core::Duration time_left,
+                         const Standing& standing);
+
+/// When a refused caller should come back, for `draw` uniform in [0, 1). Spread, so that the
+/// callers of a burst do not come back as the next burst.
+core::Duration RetryAfter(core::Duration time_left, double draw);
+
+}  // namespace pomelospar::dispatch
+
+#endif  // POMELOSPAR_LIBRARIES_DISPATCH_ADMISSION_H_
--- /dev/null
+++ b/libraries/dispatch/engine_model.cc
@@ -0,0 +1,46 @@
+#include "libraries/dispatch/engine_model.h"
+
+#include <algorithm>
+
+namespace pomelospar::dispatch {
+namespace {
+
+// Context of the prompts in the queue, whose sizes are known as a sum only.
+constexpr double kTypicalContextTokens = 6000.0;
+
+double ChunkMs(const EngineSpeed& speed, double context_tokens, double active) {
+  return speed.chunk_tokens / speed.prompt_tokens_per_ms + speed.step_ms +
+         speed.step_ms_per_request * active +
+         speed.attention_ms_per_million_pairs * speed.chunk_tokens * context_tokens / 2.0 / 1e6;
+}
+
+}  // namespace
+
+EngineLoad& EngineLoad::operator+=(const EngineLoad& other) {
+  this->unread_tokens += other.unread_tokens;
+  this->active += other.active;
+  this->memory_tokens += other.memory_tokens;
+  return *this;
+}
+
+EngineLoad& EngineLoad::operator-=(const EngineLoad& other) {
+  this->unread_tokens = std::max(this->unread_tokens - other.unread_tokens, 0.0);
+  this->active = std::max(this->active - other.active, 0.0);
+  this->memory_tokens = std::max(this->memory_tokens - other.memory_tokens, 0.0);
+  return *this;
+}
+
+double ReadingMs(const EngineSpeed& speed, double tokens, double context_tokens, double active) {
+  return tokens / speed.chunk_tokens * ChunkMs(speed, context_tokens, active);
+}
+
+double QueueMs(const EngineSpeed& speed, const EngineLoad& load) {
+  return ReadingMs(speed, load.unread_tokens, kTypicalContextTokens, load.active);
+}
+
+double StepMs(const EngineSpeed& speed, double active, double reading_share) {
+  const double generating = speed.step_ms + speed.step_ms_per_request * active;
+  return generating + reading_share * speed.chunk_tokens / speed.prompt_tokens_per_ms;
+}
+
+}  // namespace pomelospar::dispatch
--- /dev/null
+++ b/libraries/dispatch/peer_view.h
@@ -0,0 +1,59 @@
+#ifndef POMELOSPAR_LIBRARIES_DISPATCH_PEER_VIEW_H_
+#define POMELOSPAR_LIBRARIES_DISPATCH_PEER_VIEW_H_
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/core/clock.h"
+#include "libraries/dispatch/engine_model.h"
+
+namespace pomelospar::dispatch {
+
+/// Demand of one workspace in the share window, in tokens.
+struct WorkspaceUsage {
+  double asked = 0.0;
+  double served = 0.0;
+};
+
+/// What one router tells the others about its own work. Keys are hashes of names.
+struct PeerReport {
+  std::string sender;
+  /// Drawn at the start of the process.
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::unordered_map<std::uint64_t, EngineLoad> runners;
+  std::unordered_map<std::uint64_t, WorkspaceUsage> workspaces;
+};
+
+/// The latest reports of the other routers and their sums.
+class PeerView {
+ public:
+  /// Takes a report unless a newer one of the same process is known. False if it was old.
+  bool Apply(PeerReport report, core::TimePoint now);
+  /// Forgets reports that are older than the limit, so that the work of a router that is gone does
+  /// not count for long. Returns how many were forgotten.
+  std::size_t Expire(core::TimePoint now, core::Duration limit);
+
+  EngineLoad LoadOf(std::uint64_t runner) const;
+  WorkspaceUsage UsageOf(std::uint64_t workspace) const;
+  const std::unordered_map<std::uint64_t, WorkspaceUsage>& usage() const { return this->usage_sum; }
+  std::size_t size() const { return this->reports.size(); }
+
+ private:
+  struct Received {
+    PeerReport report;
+    core::TimePoint at;
+  };
+  void Add(const PeerReport& report);
+  void Remove(const PeerReport& report);
+
+  std::unordered_map<std::string, Received> reports;
+  std::unordered_map<std::uint64_t, EngineLoad> load_sum;
+  std::unordered_map<std::uint64_t, WorkspaceUsage> usage_sum;
+};
+
+}  // namespace pomelospar::dispatch
+
+#endif  // POMELOSPAR_LIBRARIES_DISPATCH_PEER_VIEW_H_
--- /dev/null
+++ b/libraries/dispatch/placement.cc
@@ -0,0 +1,79 @@
+#include "libraries/dispatch/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace pomelospar::dispatch {
+namespace {
+
+// Beyond this share of its memory an engine preempts running requests, which are then read again.
+constexpr double kMemoryShare = 0.92;
+// What a failed request costs its caller, against a wait: the time of a typical second try.
+constexpr double kFailureCostMs = 1500.0;
+// An engine that fails more than this takes no request while another one can.
+constexpr double kHighestFailureShare = 0.6;
+// Prefers the own domain among equals; the way there and back takes about a millisecond.
+constexpr double kOtherDomainMs = 2.0;
+
+struct Rated {
+  EnginePlacement placement;
+  double cost = std::numeric_limits<double>::infinity();
+};
+
+bool HasRoom(const EngineOption& option, const EngineRequest& request) {
+  const double memory = option.load.memory_tokens + request.prompt_tokens + request.output_tokens;
+  return option.load.active < option.slots && memory <= option.memory_capacity * kMemoryShare;
+}
+
+Rated Rate(const EngineSpeed& speed, const EngineOption& option, const EngineRequest& request,
+           std::size_t index) {
+  const double unread = std::max(request.prompt_tokens - option.cached_tokens, 1.0);
+  const double reading = ReadingMs(speed, unread, request.prompt_tokens, option.load.active);
+  const double queue = QueueMs(speed, option.load);
+  Rated rated;
+  rated.placement = {index, unread, queue * option.slowdown,
+                     queue + reading + speed.first_event_ms};
+  rated.cost = (rated.placement.first_event_ms + reading) * option.slowdown +
+               kFailureCostMs * option.failure_share + (option.other_domain ? kOtherDomainMs : 0.0);
+  return rated;
+}
+
+}  // namespace
+
+std::optional<EnginePlacement> PlaceAtEngine(const EngineSpeed& speed,
+                                             std::span<const EngineOption> options,
+                                             const EngineRequest& request) {
+  Rated best;
+  Rated best_failing;
+  for (std::size_t index = 0; index < options.size(); ++index) {
+    const auto& option = options[index];
+    if (!HasRoom(option, request)) continue;
+    const auto rated = Rate(speed, option, request, index);
+    if (rated.placement.queue_ms > request.queue_limit_ms) continue;
+    auto& place = option.failure_share > kHighestFailureShare ? best_failing : best;
+    if (rated.cost < place.cost) place = rated;
+  }
+  const auto& chosen = best.cost < std::numeric_limits<double>::infinity() ? best : best_failing;
+  if (chosen.cost == std::numeric_limits<double>::infinity()) return std::nullopt;
+  return chosen.placement;
+}
+
+std::optional<std::size_t> PlaceAtService(std::span<const ServiceOption> options,
+                                          double queue_factor) {
+  std::optional<std::size_t> best;
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (std::size_t index = 0; index < options.size(); ++index) {
+    const auto& option = options[index];
+    if (option.active >= option.slots * queue_factor) continue;
+    const double waves = 1.0 + option.active / std::max(option.slots, 1.0);
+    const double cost = waves * option.latency_ms + kFailureCostMs * option.failure_share +
+                        (option.other_domain ? kOtherDomainMs : 0.0);
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = index;
+    }
+  }
+  return best;
+}
+
+}  // namespace pomelospar::dispatch
--- /dev/null
+++ b/libraries/dispatch/retry_allowance.cc
@@ -0,0 +1,24 @@
+#include "libraries/dispatch/retry_allowance.h"
+
+namespace pomelospar::dispatch {
+namespace {
+
+// A window of eight parts forgets up to an eighth of its length too early; the retries are kept
+// for longer than the requests so that no window of the full length exceeds the bound.
+core::Duration Longer(core::Duration window) { return window * 8 / 7; }
+
+}  // namespace
+
+RetryAllowance::RetryAllowance(const RetryLimits& retry_limits)
+    : limits(retry_limits), requests(retry_limits.window), retries(Longer(retry_limits.window)) {}
+
+void RetryAllowance::OnRequest(core::TimePoint now) { this->requests.Add(now, 1.0); }
+
+bool RetryAllowance::TryRetry(core::TimePoint now) {
+  const double allowed = this->limits.ratio * this->requests.Sum(now) + this->limits.slack;
+  if (this->retries.Sum(now) + 1.0 > allowed) return false;
+  this->retries.Add(now, 1.0);
+  return true;
+}
+
+}  // namespace pomelospar::dispatch
--- /dev/null
+++ b/libraries/dispatch/share_window.h
@@ -0,0 +1,38 @@
+#ifndef POMELOSPAR_LIBRARIES_DISPATCH_SHARE_WINDOW_H_
+#define POMELOSPAR_LIBRARIES_DISPATCH_SHARE_WINDOW_H_
+
+#include <array>
+#include <cstdint>
+#include <span>
+
+#include "libraries/core/clock.h"
+
+namespace pomelospar::dispatch {
+
+/// A sum over a sliding window, kept in eight parts.
+class SlidingSum {
+ public:
+  explicit SlidingSum(core::Duration window);
+
+  void Add(core::TimePoint now, double amount);
+  double Sum(core::TimePoint now) const;
+
+ private:
+  static constexpr std::size_t kParts = 8;
+  struct Part {
+    std::int64_t number = -1;
+    double sum = 0.0;
+  };
+  std::int64_t PartNumber(core::TimePoint now) const;
+
+  core::Duration part_length;
+  std::array<Part, kParts> parts{};
+};
+
+/// The level of max-min fairness: the largest amount that each demand may receive so that the sum
+/// of min(demand, level) does not exceed the capacity. Infinite if the capacity meets all demands.
+double MaxMinLevel(std::span<const double> demands, double capacity);
+
+}  // namespace pomelospar::dispatch
+
+#endif  // POMELOSPAR_LIBRARIES_DISPATCH_SHARE_WINDOW_H_
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -122,6 +122,8 @@
 
 std::string HttpServer::address() const { return this->state->address; }
 
+void HttpServer::CloseAfterResponses() { this->state->server->close_after_responses = true; }
+
 void HttpServer::StopAccepting() {
   this->state->server->stopping = true;
   boost::system::error_code error;
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -327,7 +327,7 @@
   if (this->phase != Phase::kNotStarted) {
     return WrongOrder("the response was already started");
   }
-  if (this->server->stopping) this->keep_alive = false;
+  if (this->server->stopping || this->server->close_after_responses) this->keep_alive = false;
   this->output.clear();
   return AppendResponseHead(head, this->keep_alive, this->output);
 }
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -25,6 +25,7 @@
   ServerLimits limits;
   Handler handler;
   bool stopping = false;
+  bool close_after_responses = false;
   std::size_t active_exchanges = 0;
   std::uint64_t body_bytes = 0;
   std::unordered_set<ServerConnection*> connections;
--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -93,6 +94,11 @@
           fmt::format("upstream {} sent a header that is too long", this->address)));
     }
     const auto [error, count] = co_await this->stream.ReadSome(asio::buffer(this->read_block));
+    if (error == asio::error::eof && this->EndsWithConnection()) {
+      beast::error_code end_error;
+      this->parser->put_eof(end_error);
+      if (!end_error) co_return core::Success();
+    }
     if (error) co_return this->StreamError("before the response was complete");
     this->input.append(this->read_block.data(), count);
     if (count == this->read_block.size() && count < kLargestReadBlock) {
@@ -101,11 +107,17 @@
     co_return core::Success();
   }
 
+  bool EndsWithConnection() const {
+    return this->accept_close_delimited && this->parser->is_header_done() &&
+           this->parser->need_eof();
+  }
+
   /// Why the response's framing cannot be trusted; empty if it can.
   std::string FramingFault() {
     const auto status = this->parser->get().result_int();
     if (status == 101) return "it switches protocols, which was not asked for";
-    if (this->parser->need_eof()) return "its body has neither a length nor chunks";
+    if (this->parser->need_eof() && !this->accept_close_delimited)
+      return "its body has neither a length nor chunks";
     if (this->parser->get().version() != 11) return "it is not HTTP/1.1";
     return {};
   }
@@ -134,6 +146,7 @@
   std::string input;
   std::vector<char> read_block;
   bool head_request = false;
+  bool accept_close_delimited = false;
   bool any_byte_sent = false;
   bool response_read = true;
   bool failed = false;
@@ -239,6 +252,13 @@
   co_return std::optional<std::string>();
 }
 
+void UpstreamConnection::AcceptCloseDelimited() { this->state->accept_close_delimited = true; }
+
+void UpstreamConnection::ExpectAnotherResponse() {
+  this->state->response_read = false;
+  this->state->ResetParser();
+}
+
 bool UpstreamConnection::reusable() const {
   const auto& self = *this->state;
   if (self.failed || !self.response_read || !self.input.empty()) return false;
--- a/libraries/http/upstream_connection.h
+++ b/libraries/http/upstream_connection.h
@@ -36,13 +36,19 @@
                                                   core::Duration timeout);
   /// True from the moment a byte of the current request may have left, also while it is being sent.
   bool any_byte_sent() const;
-  /// Interim (1xx) responses are skipped, trailers are dropped. A response whose body would end
-  /// with the connection is `kMalformed`, because its truncation could not be told from its end.
+  /// Interim (1xx) responses are skipped, trailers are dropped. A response whose body ends with the
+  /// connection is `kMalformed` unless `AcceptCloseDelimited` was called.
   boost::asio::awaitable<core::Result<ResponseHead>> ReadHead(core::Duration timeout);
   /// What has arrived of the body, at most 64 KiB, without chunk framing; nothing once the body is
   /// complete. The timeout is for one piece.
   boost::asio::awaitable<core::Result<std::optional<std::string>>> ReadPiece(
       core::Duration timeout);
+  /// From now on a response may have neither a length nor chunks. Its body is complete when the
+  /// upstream closes the connection in an orderly way; a reset is an error.
+  void AcceptCloseDelimited();
+  /// After a whole response that belongs to an earlier request: `ReadHead` then waits for the next
+  /// response on this connection.
+  void ExpectAnotherResponse();
   /// The whole response was read, the upstream keeps the connection and sent nothing beyond.
   bool reusable() const;
   /// Like `reusable`, and the upstream has neither sent anything nor closed since.
--- a/libraries/http/upstream_pool.cc
+++ b/libraries/http/upstream_pool.cc
@@ -1,5 +1,6 @@
 #include "libraries/http/upstream_pool.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <map>
@@ -86,12 +87,18 @@
 }
 
 void UpstreamPool::Release(std::unique_ptr<UpstreamConnection> connection) {
+  this->Release(std::move(connection), this->state->options.idle_timeout);
+}
+
+void UpstreamPool::Release(std::unique_ptr<UpstreamConnection> connection,
+                           core::Duration idle_timeout) {
   auto& self = *this->state;
   if (!connection || !connection->IsIdleAndClean()) return;
   if (self.idle_total >= self.options.idle_in_total) return;
   auto& connections = self.idle[connection->address()];
   if (connections.size() >= self.options.idle_per_address) return;
-  connections.push_back({std::move(connection), Now() + self.options.idle_timeout});
+  connections.push_back(
+      {std::move(connection), Now() + std::min(idle_timeout, self.options.idle_timeout)});
   ++self.idle_total;
   self.ScheduleSweep();
 }
--- a/libraries/http/upstream_pool.h
+++ b/libraries/http/upstream_pool.h
@@ -34,8 +34,10 @@
   /// `UpstreamConnection::Open`.
   boost::asio::awaitable<core::Result<std::unique_ptr<UpstreamConnection>>> Acquire(
       std::string address, core::Duration connect_timeout);
-  /// Keeps the connection if it is reusable, else closes it.
+  /// Keeps the connection if it is reusable, else closes it. `idle_timeout` shortens the time for
+  /// which it is kept, for an upstream that announced its own.
   void Release(std::unique_ptr<UpstreamConnection> connection);
+  void Release(std::unique_ptr<UpstreamConnection> connection, core::Duration idle_timeout);
   /// Closes the idle connections to an address, such as one that is leaving.
   void Forget(std::string_view address);
   std::size_t idle_connections() const;
--- /dev/null
+++ b/services/pomelospar_edge/blackboard.cc
@@ -0,0 +1,59 @@
+#include "services/pomelospar_edge/blackboard.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "libraries/core/identifiers.h"
+
+namespace pomelospar::edge {
+
+bool PolicyIsFresh(const Blackboard& board, core::Duration limit) {
+  return board.policy && board.clock.since_boot() - board.policy_proven_at <= limit;
+}
+
+dispatch::EngineLoad FleetLoad(const Blackboard& board, const Runner& runner) {
+  auto load = board.peers.LoadOf(runner.key);
+  load += runner.own;
+  return load;
+}
+
+bool TakesNewWork(const Runner& runner) { return !runner.record.draining && !runner.said_leaving; }
+
+double ShareTokens(const dispatch::Prompt& prompt) {
+  // The operator's figure counts a token read once and a token generated twice.
+  constexpr double kGeneratedWeight = 2.0;
+  return prompt.input_tokens + kGeneratedWeight * dispatch::ExpectedOutputTokens(prompt);
+}
+
+WorkspaceWindow& WindowOf(Blackboard& board, const std::string& workspace) {
+  return board.workspaces.try_emplace(workspace, board.settings.share_window).first->second;
+}
+
+bool IsBeyondShare(Blackboard& board, const std::string& workspace, double tokens) {
+  if (workspace.empty() || board.share_level <= 0.0) return false;
+  const auto now = board.clock.now();
+  const auto peers = board.peers.UsageOf(core::HashName(workspace));
+  const double served = WindowOf(board, workspace).served.Sum(now) + peers.served;
+  return served + tokens > board.share_level;
+}
+
+void UpdateShareLevel(Blackboard& board) {
+  if (!board.policy || board.policy->tokens_per_second <= 0.0) {
+    board.share_level = 0.0;
+    return;
+  }
+  const auto now = board.clock.now();
+  std::unordered_map<std::uint64_t, double> demand;
+  for (const auto& [key, usage] : board.peers.usage()) demand[key] += usage.asked;
+  for (const auto& [name, window] : board.workspaces) {
+    demand[core::HashName(name)] += window.asked.Sum(now);
+  }
+  std::vector<double> demands;
+  demands.reserve(demand.size());
+  for (const auto& [key, tokens] : demand) demands.push_back(tokens);
+  const double seconds = std::chrono::duration<double>(board.settings.share_window).count();
+  board.share_level = dispatch::MaxMinLevel(demands, board.policy->tokens_per_second * seconds);
+}
+
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/services/pomelospar_edge/blackboard.h
@@ -0,0 +1,118 @@
+#ifndef POMELOSPAR_SERVICES_POMELOSPAR_EDGE_BLACKBOARD_H_
+#define POMELOSPAR_SERVICES_POMELOSPAR_EDGE_BLACKBOARD_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/core/buffered_log.h"
+#include "libraries/core/clock.h"
+#include "libraries/core/identifiers.h"
+#include "libraries/dispatch/engine_model.h"
+#include "libraries/dispatch/peer_view.h"
+#include "libraries/dispatch/policy.h"
+#include "libraries/dispatch/prefix_record.h"
+#include "libraries/dispatch/retry_allowance.h"
+#include "libraries/dispatch/runner.h"
+#include "libraries/dispatch/runner_health.h"
+#include "libraries/dispatch/share_window.h"
+#include "libraries/metrics/metrics_registry.h"
+#include "platform/settings.h"
+#include "services/pomelospar_edge/wait_queue.h"
+
+namespace pomelospar::edge {
+
+/// A runner as this router knows it. Requests in progress keep it alive after it has left the
+/// directory.
+struct Runner {
+  dispatch::RunnerRecord record;
+  /// Hash of the identifier, its name in messages between routers.
+  std::uint64_t key = 0;
+  /// Work of this router there.
+  dispatch::EngineLoad own;
+  dispatch::RunnerHealth health;
+  dispatch::PrefixRecord prefixes;
+  /// The runner answered that it leaves, before its entry said so.
+  bool said_leaving = false;
+  /// Its entry is missing; it is gone at this time unless the entry comes back.
+  std::optional<core::TimePoint> removal_due;
+};
+
+/// Demand of a workspace at this router.
+struct WorkspaceWindow {
+  explicit WorkspaceWindow(core::Duration window) : asked(window), served(window) {}
+  dispatch::SlidingSum asked;
+  dispatch::SlidingSum served;
+};
+
+/// State of the router that its controllers read and write on the I/O thread.
+struct Blackboard {
+  Blackboard(boost::asio::io_context& io_context, core::Clock runtime_clock,
+             adapter::InstanceSettings instance, core::BufferedLog& decision_log)
+      : io(io_context),
+        clock(std::move(runtime_clock)),
+        settings(std::move(instance)),
+        log(decision_log) {}
+
+  boost::asio::io_context& io;
+  core::Clock clock;
+  adapter::InstanceSettings settings;
+  core::BufferedLog& log;
+  metrics::MetricsRegistry metrics;
+  std::uint64_t incarnation = core::RandomNonZero();
+
+  /// The configuration in force; null until one was read.
+  std::shared_ptr<const dispatch::Policy> policy;
+  /// Time since boot at which `policy` was last known to be the newest.
+  core::Duration policy_proven_at{};
+
+  /// By identifier.
+  std::map<std::string, std::shared_ptr<Runner>> runners;
+  /// The directory of runners was read at least once.
+  bool runners_known = false;
+
+  dispatch::EngineSpeed engine_speed;
+  dispatch::PeerView peers;
+  /// The fleet is so large that only the routers of one failure domain exchange reports. The load
+  /// of runners elsewhere is not known, so they are used only if the own domain has none.
+  bool own_domain_only = false;
+  /// By workspace name.
+  std::unordered_map<std::string, WorkspaceWindow> workspaces;
+  /// Tokens that each workspace may receive in the share window before it is beyond its share.
+  double share_level = 0.0;
+  /// By upstream name.
+  std::unordered_map<std::string, dispatch::RetryAllowance> retries;
+  /// By route name: the longest patience of a caller. A caller with clearly less was here before.
+  std::unordered_map<std::string, core::Duration> full_patience;
+  WaitQueue waiting;
+  bool stopping = false;
+};
+
+/// True if the newest configuration was confirmed within `limit`.
+bool PolicyIsFresh(const Blackboard& board, core::Duration limit);
+
+/// The runner's work of all routers, as far as known.
+dispatch::EngineLoad FleetLoad(const Blackboard& board, const Runner& runner);
+
+/// True if new work may be sent to the runner.
+bool TakesNewWork(const Runner& runner);
+
+/// Tokens for which a request counts in the shares of workspaces.
+double ShareTokens(const dispatch::Prompt& prompt);
+
+WorkspaceWindow& WindowOf(Blackboard& board, const std::string& workspace);
+
+/// True if the workspace has received its share of the window at all routers.
+bool IsBeyondShare(Blackboard& board, const std::string& workspace, double tokens);
+
+/// Computes `share_level` from the demand at all routers.
+void UpdateShareLevel(Blackboard& board);
+
+}  // namespace pomelospar::edge
+
+#endif  // POMELOSPAR_SERVICES_POMELOSPAR_EDGE_BLACKBOARD_H_
--- /dev/null
+++ b/services/pomelospar_edge/edge.cc
@@ -0,0 +1,239 @@
+#include "services/pomelospar_edge/edge.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "services/pomelospar_edge/request_session.h"
+
+namespace pomelospar::edge {
+namespace {
+
+namespace asio = boost::asio;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr core::Duration kTickPeriod = milliseconds(100);
+// Shares change with the demand of some seconds; the settings file by hand.
+constexpr std::uint64_t kTicksPerShareUpdate = 2;
+constexpr std::uint64_t kTicksPerSettingsCheck = 20;
+// The platform stops sending callers after two questions a second apart without a 200.
+constexpr core::Duration kAcceptAfterStop = milliseconds(2600);
+// Left for the process to end before it is killed.
+constexpr core::Duration kStopMargin = milliseconds(500);
+// Idle connections to one runner; all routers together must stay below what a runner accepts.
+constexpr std::size_t kIdlePerRunner = 16;
+// A runner that does not announce its own timeout is assumed to keep a connection at least this
+// long.
+constexpr core::Duration kIdleTimeout = std::chrono::seconds(4);
+// The platform tells nothing about a port for metrics, so it is fixed, as in deploy/system.toml.
+constexpr unsigned kMetricsPort = 9464;
+// Share of the key limit after which an instance without the store sends callers elsewhere.
+constexpr double kReadyShare = 0.8;
+// Of the descriptors that sockets may use, callers get this share; the rest is for runners.
+constexpr double kCallerDescriptorShare = 0.45;
+constexpr std::size_t kReservedDescriptors = 200;
+// Bodies of requests in progress may take this share of the memory.
+constexpr std::size_t kBodyMemoryDivisor = 4;
+
+}  // namespace
+
+Edge::Edge(std::string path, std::string document, adapter::InstanceSettings settings)
+    : io(1),
+      log(STDOUT_FILENO, core::SystemClock()),
+      board(this->io, core::SystemClock(), std::move(settings), this->log),
+      settings_path(std::move(path)),
+      settings_document(std::move(document)),
+      pool(this->io, {.idle_per_address = kIdlePerRunner, .idle_timeout = kIdleTimeout}),
+      store(this->io, this->board.settings.store_address),
+      signals(this->io, SIGTERM, SIGINT, SIGHUP),
+      tick_timer(this->io) {}
+
+core::Result<std::unique_ptr<Edge>> Edge::Create(std::string settings_path,
+                                                 std::string settings_document,
+                                                 adapter::InstanceSettings settings) {
+  std::unique_ptr<Edge> edge(
+      new Edge(std::move(settings_path), std::move(settings_document), std::move(settings)));
+  BOOST_OUTCOME_TRY(edge->Listen());
+  return edge;
+}
+
+core::Result<void> Edge::Listen() {
+  BOOST_OUTCOME_TRY(this->peers, PeerExchange::Create(this->board));
+  this->sync = std::make_unique<StoreSync>(this->board, this->store, this->pool, *this->peers,
+                                           [this] { this->ApplyCallerLimits(); });
+  const auto& settings = this->board.settings;
+  BOOST_OUTCOME_TRY(this->caller_server,
+                    http::HttpServer::Create(
+                        this->io, {.address = settings.caller_address},
+                        [this](http::ServerExchange& exchange) { return this->Serve(exchange); }));
+  this->ApplyCallerLimits();
+  BOOST_OUTCOME_TRY(this->readiness_server,
+                    http::HttpServer::Create(this->io, {.address = settings.readiness_address},
+                                             [this](http::ServerExchange& exchange) {
+                                               return this->AnswerReadiness(exchange);
+                                             }));
+  auto metrics = http::HttpServer::Create(
+      this->io, {.address = fmt::format("{}:{}", settings.ip, kMetricsPort)},
+      [this](http::ServerExchange& exchange) { return this->AnswerMetrics(exchange); });
+  if (metrics) {
+    this->metrics_server = std::move(metrics.value());
+  } else {
+    this->log.Write(LogLevel::kWarning, "metrics_unavailable",
+                    {{"error", metrics.error().message}});
+  }
+  return core::Success();
+}
+
+void Edge::ApplyCallerLimits() {
+  const auto& settings = this->board.settings;
+  http::ServerLimits limits;
+  if (this->board.policy) {
+    const auto& declared = this->board.policy->limits;
+    limits.header_bytes = declared.header_bytes;
+    limits.body_bytes = declared.body_bytes;
+    limits.header_timeout = declared.header_timeout;
+    limits.keep_alive_timeout = declared.idle_timeout;
+  }
+  const auto sockets = settings.descriptors > kReservedDescriptors
+                           ? settings.descriptors - kReservedDescriptors
+                           : settings.descriptors;
+  limits.maximum_connections =
+      static_cast<std::size_t>(static_cast<double>(sockets) * kCallerDescriptorShare);
+  limits.total_body_bytes = settings.memory_bytes / kBodyMemoryDivisor;
+  if (this->caller_server) this->caller_server->SetLimits(limits);
+}
+
+void Edge::Run() {
+  const auto& settings = this->board.settings;
+  this->log.Write(LogLevel::kInfo, "start",
+                  {{"instance", settings.name},
+                   {"domain", settings.domain},
+                   {"callers", settings.caller_address},
+                   {"store", settings.store_address},
+                   {"incarnation", this->board.incarnation}});
+  this->AwaitSignals();
+  this->ScheduleTick();
+  this->peers->Start();
+  this->sync->Start();
+  this->io.run();
+  this->log.Flush();
+}
+
+void Edge::AwaitSignals() {
+  this->signals.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      this->ReloadSettings();
+    } else if (!this->board.stopping) {
+      this->board.stopping = true;
+      asio::co_spawn(this->io, this->Stop(), asio::detached);
+    }
+    this->AwaitSignals();
+  });
+}
+
+void Edge::ScheduleTick() {
+  this->tick_timer.expires_after(kTickPeriod);
+  this->tick_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    this->Tick();
+    this->ScheduleTick();
+  });
+}
+
+void Edge::Tick() {
+  ++this->ticks;
+  this->sync->DropLapsedRunners();
+  if (this->ticks % kTicksPerShareUpdate == 0) UpdateShareLevel(this->board);
+  if (this->ticks % kTicksPerSettingsCheck == 0) this->ReloadSettings();
+  const bool ready = this->IsReady();
+  if (ready != this->was_ready) {
+    this->was_ready = ready;
+    this->log.Write(LogLevel::kInfo, "readiness", {{"ready", ready}});
+  }
+  this->log.Flush();
+}
+
+void Edge::ReloadSettings() {
+  std::ifstream file(this->settings_path);
+  std::ostringstream content;
+  content << file.rdbuf();
+  auto document = content.str();
+  if (!file || document == this->settings_document) return;
+  auto decoded = adapter::DecodeSettings(document);
+  if (!decoded) {
+    this->log.Write(LogLevel::kError, "settings_rejected", {{"error", decoded.error().message}});
+    return;
+  }
+  // Addresses that this process listens on stay until its next start.
+  this->settings_document = std::move(document);
+  this->board.settings = std::move(decoded.value());
+  this->store.SetAddress(this->board.settings.store_address);
+  this->ApplyCallerLimits();
+  this->log.Write(LogLevel::kInfo, "settings_reloaded",
+                  {{"store", this->board.settings.store_address}});
+}
+
+bool Edge::IsReady() const {
+  if (this->board.stopping || !this->board.policy || !this->board.runners_known) return false;
+  if (!this->board.settings.keys_fail_closed) return true;
+  const auto limit = std::chrono::duration_cast<core::Duration>(
+      this->board.settings.key_revocation_limit * kReadyShare);
+  return PolicyIsFresh(this->board, limit);
+}
+
+asio::awaitable<void> Edge::Serve(http::ServerExchange& exchange) {
+  const auto session = std::make_shared<RequestSession>(this->board, this->pool, exchange);
+  co_await session->Run();
+}
+
+asio::awaitable<void> Edge::AnswerReadiness(http::ServerExchange& exchange) {
+  http::HttpResponse response;
+  response.status = this->IsReady() ? 200 : 503;
+  const auto sent = co_await exchange.Respond(std::move(response));
+  if (!sent) this->log.Write(LogLevel::kWarning, "readiness_unanswered");
+}
+
+asio::awaitable<void> Edge::AnswerMetrics(http::ServerExchange& exchange) {
+  http::HttpResponse response;
+  response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+  response.body = this->board.metrics.Render();
+  const auto sent = co_await exchange.Respond(std::move(response));
+  if (!sent) this->log.Write(LogLevel::kInfo, "metrics_unanswered");
+}
+
+asio::awaitable<void> Edge::Stop() {
+  const auto begun = this->board.clock.now();
+  const auto limit = begun + this->board.settings.stop_grace - kStopMargin;
+  this->log.Write(LogLevel::kInfo, "stop",
+                  {{"requests", std::uint64_t{this->caller_server->active_exchanges()}}});
+  this->caller_server->CloseAfterResponses();
+  asio::co_spawn(this->io, this->sync->Unregister(), asio::detached);
+  asio::steady_timer timer(this->io);
+  timer.expires_at(std::min(begun + kAcceptAfterStop, limit));
+  co_await timer.async_wait(kTuple);
+  this->caller_server->StopAccepting();
+  while (this->caller_server->active_exchanges() + this->caller_server->connections() > 0 &&
+         this->board.clock.now() < limit) {
+    timer.expires_after(milliseconds(20));
+    co_await timer.async_wait(kTuple);
+  }
+  this->log.Write(LogLevel::kInfo, "stopped",
+                  {{"cut_requests", std::uint64_t{this->caller_server->active_exchanges()}}});
+  this->log.Flush();
+  this->io.stop();
+}
+
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/services/pomelospar_edge/edge.h
@@ -0,0 +1,68 @@
+#ifndef POMELOSPAR_SERVICES_POMELOSPAR_EDGE_EDGE_H_
+#define POMELOSPAR_SERVICES_POMELOSPAR_EDGE_EDGE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+
+#include "libraries/core/buffered_log.h"
+#include "libraries/core/result.h"
+#include "libraries/http/http_server.h"
+#include "libraries/http/upstream_pool.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+#include "services/pomelospar_edge/blackboard.h"
+#include "services/pomelospar_edge/peer_exchange.h"
+#include "services/pomelospar_edge/store_sync.h"
+
+namespace pomelospar::edge {
+
+/// One router process on an instance without a disk.
+class Edge {
+ public:
+  /// Errors: `kInvalidArgument` or `kUnavailable` if an address cannot be used.
+  static core::Result<std::unique_ptr<Edge>> Create(std::string settings_path,
+                                                    std::string settings_document,
+                                                    adapter::InstanceSettings settings);
+  /// Serves until a stop signal and the end of the requests in progress.
+  void Run();
+
+ private:
+  Edge(std::string settings_path, std::string settings_document,
+       adapter::InstanceSettings settings);
+  core::Result<void> Listen();
+  void AwaitSignals();
+  void Tick();
+  void ScheduleTick();
+  void ReloadSettings();
+  void ApplyCallerLimits();
+  bool IsReady() const;
+  boost::asio::awaitable<void> Serve(http::ServerExchange& exchange);
+  boost::asio::awaitable<void> AnswerReadiness(http::ServerExchange& exchange);
+  boost::asio::awaitable<void> AnswerMetrics(http::ServerExchange& exchange);
+  boost::asio::awaitable<void> Stop();
+
+  boost::asio::io_context io;
+  core::BufferedLog log;
+  Blackboard board;
+  std::string settings_path;
+  std::string settings_document;
+  http::UpstreamPool pool;
+  adapter::StoreClient store;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer tick_timer;
+  std::uint64_t ticks = 0;
+  std::unique_ptr<PeerExchange> peers;
+  std::unique_ptr<StoreSync> sync;
+  std::unique_ptr<http::HttpServer> caller_server;
+  std::unique_ptr<http::HttpServer> readiness_server;
+  std::unique_ptr<http::HttpServer> metrics_server;
+  bool was_ready = false;
+};
+
+}  // namespace pomelospar::edge
+
+#endif  // POMELOSPAR_SERVICES_POMELOSPAR_EDGE_EDGE_H_
--- /dev/null
+++ b/services/pomelospar_edge/event_splitter.cc
@@ -0,0 +1,70 @@
+#include "services/pomelospar_edge/event_splitter.h"
+
+#include <algorithm>
+
+namespace pomelospar::edge {
+namespace {
+
+// The end of the first event at or after `start`, or npos. Lines may end in LF or CRLF.
+std::size_t EventEnd(std::string_view text, std::size_t start) {
+  while (true) {
+    const auto line_end = text.find('\n', start);
+    if (line_end == std::string_view::npos) return line_end;
+    if (line_end + 1 < text.size() && text[line_end + 1] == '\n') return line_end + 2;
+    if (line_end + 2 < text.size() && text[line_end + 1] == '\r' && text[line_end + 2] == '\n') {
+      return line_end + 3;
+    }
+    start = line_end + 1;
+  }
+}
+
+std::optional<std::string_view> FindIdentifier(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  std::size_t start = 0;
+  while (start < event.size()) {
+    const auto end = std::min(event.find('\n', start), event.size());
+    auto line = event.substr(start, end - start);
+    if (line.starts_with(kField)) {
+      line.remove_prefix(kField.size());
+      while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+      while (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+      return line;
+    }
+    start = end + 1;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void EventSplitter::NoteEvent(std::string_view event) {
+  ++this->event_count;
+  ++this->last_count;
+  const auto identifier = FindIdentifier(event);
+  if (!identifier) return;
+  this->last_identifier = std::string(*identifier);
+  if (!this->first_identifier) this->first_identifier = this->last_identifier;
+}
+
+std::string_view EventSplitter::Append(std::string_view bytes) {
+  this->buffer.erase(0, this->returned);
+  this->returned = 0;
+  this->last_count = 0;
+  this->first_identifier.reset();
+  this->buffer.append(bytes);
+  const std::string_view text = this->buffer;
+  while (true) {
+    const auto end = EventEnd(text, this->returned);
+    if (end == std::string_view::npos) break;
+    this->NoteEvent(text.substr(this->returned, end - this->returned));
+    this->returned = end;
+  }
+  return text.substr(0, this->returned);
+}
+
+void EventSplitter::DropRest() {
+  this->buffer.clear();
+  this->returned = 0;
+}
+
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -0,0 +1,157 @@
+#include "services/pomelospar_edge/peer_exchange.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "libraries/core/identifiers.h"
+#include "libraries/http/byte_stream.h"
+#include "services/pomelospar_edge/peer_message.h"
+
+namespace pomelospar::edge {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+// Up to this many routers each tells all others; beyond, only those of its failure domain, and less
+// often, so that a router receives at most about 150 reports a second.
+constexpr std::size_t kFullExchange = 16;
+constexpr core::Duration kSmallFleetPeriod = milliseconds(80);
+constexpr core::Duration kLargeFleetPeriod = milliseconds(250);
+// A router that was silent for so long is cut off or gone.
+constexpr core::Duration kReportLifetime = milliseconds(1500);
+
+}  // namespace
+
+PeerExchange::PeerExchange(Blackboard& blackboard, udp::socket bound)
+    : board(blackboard), socket(std::move(bound)), timer(blackboard.io) {}
+
+core::Result<std::unique_ptr<PeerExchange>> PeerExchange::Create(Blackboard& board) {
+  BOOST_OUTCOME_TRY(const auto address,
+                    http::ParseEndpoint(fmt::format("{}:{}", board.settings.ip,
+                                                    board.settings.first_internal_port)));
+  const udp::endpoint endpoint(address.address(), address.port());
+  boost::system::error_code error;
+  udp::socket socket(board.io);
+  socket.open(endpoint.protocol(), error);
+  if (!error) socket.bind(endpoint, error);
+  if (!error) socket.non_blocking(true, error);
+  if (error) {
+    return core::MakeError(core::ErrorKind::kUnavailable,
+                           fmt::format("cannot bind UDP {}:{}: {}", board.settings.ip,
+                                       board.settings.first_internal_port, error.message()));
+  }
+  return std::unique_ptr<PeerExchange>(new PeerExchange(board, std::move(socket)));
+}
+
+std::string PeerExchange::address() const {
+  const auto endpoint = this->socket.local_endpoint();
+  return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+}
+
+void PeerExchange::Start() {
+  asio::co_spawn(this->board.io, this->ReceiveLoop(), asio::detached);
+  asio::co_spawn(this->board.io, this->SendLoop(), asio::detached);
+}
+
+void PeerExchange::Stop() {
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  this->timer.cancel();
+}
+
+void PeerExchange::SetPeer(const std::string& name, std::string_view address,
+                           std::string_view domain) {
+  const auto endpoint = http::ParseEndpoint(address);
+  if (!endpoint) {
+    this->board.log.Write(LogLevel::kWarning, "peer_row_malformed", {{"peer", name}});
+    return;
+  }
+  this->addresses[name] = {udp::endpoint(endpoint.value().address(), endpoint.value().port()),
+                           std::string(domain)};
+}
+
+void PeerExchange::RemovePeer(const std::string& name) { this->addresses.erase(name); }
+
+void PeerExchange::SetKey(std::string new_key) {
+  if (new_key == this->key) return;
+  this->previous_key = std::exchange(this->key, std::move(new_key));
+}
+
+bool PeerExchange::IsLarge() const { return this->addresses.size() > kFullExchange; }
+
+asio::awaitable<void> PeerExchange::ReceiveLoop() {
+  udp::endpoint sender;
+  while (this->socket.is_open()) {
+    const auto [error, size] =
+        co_await this->socket.async_receive_from(asio::buffer(this->buffer), sender, kTuple);
+    if (!error) this->Receive(std::string_view(this->buffer.data(), size));
+  }
+}
+
+void PeerExchange::Receive(std::string_view datagram) {
+  if (this->key.empty()) return;
+  auto report = OpenReport(datagram, this->key);
+  if (!report && !this->previous_key.empty()) report = OpenReport(datagram, this->previous_key);
+  if (!report) {
+    this->board.log.Write(LogLevel::kWarning, "peer_report_rejected",
+                          {{"error", report.error().message}});
+    return;
+  }
+  if (report.value().sender == this->board.settings.ip) return;
+  this->board.peers.Apply(std::move(report.value()), this->board.clock.now());
+}
+
+asio::awaitable<void> PeerExchange::SendLoop() {
+  while (this->socket.is_open()) {
+    this->timer.expires_after(this->IsLarge() ? kLargeFleetPeriod : kSmallFleetPeriod);
+    co_await this->timer.async_wait(kTuple);
+    if (!this->socket.is_open()) break;
+    this->board.own_domain_only = this->IsLarge();
+    const auto now = this->board.clock.now();
+    const auto expired = this->board.peers.Expire(now, kReportLifetime);
+    if (expired > 0) {
+      this->board.log.Write(LogLevel::kInfo, "peers_silent", {{"count", std::uint64_t{expired}}});
+    }
+    this->SendReports();
+    this->board.waiting.TryAll();
+  }
+}
+
+dispatch::PeerReport PeerExchange::MakeReport() {
+  const auto now = this->board.clock.now();
+  dispatch::PeerReport report;
+  report.sender = this->board.settings.ip;
+  report.incarnation = this->board.incarnation;
+  report.sequence = ++this->sequence;
+  for (const auto& [id, runner] : this->board.runners) {
+    if (runner->own.active > 0.0) report.runners.emplace(runner->key, runner->own);
+  }
+  for (const auto& [name, window] : this->board.workspaces) {
+    const dispatch::WorkspaceUsage usage = {window.asked.Sum(now), window.served.Sum(now)};
+    if (usage.asked > 0.0) report.workspaces.emplace(core::HashName(name), usage);
+  }
+  return report;
+}
+
+void PeerExchange::SendReports() {
+  if (this->key.empty() || this->addresses.empty()) return;
+  const auto datagram = SealReport(this->MakeReport(), this->key);
+  for (const auto& [name, peer] : this->addresses) {
+    if (this->IsLarge() && peer.domain != this->board.settings.domain) continue;
+    boost::system::error_code ignored;
+    // A datagram that cannot be sent now is replaced by the next one.
+    this->socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
+  }
+}
+
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -0,0 +1,66 @@
+#ifndef POMELOSPAR_SERVICES_POMELOSPAR_EDGE_PEER_EXCHANGE_H_
+#define POMELOSPAR_SERVICES_POMELOSPAR_EDGE_PEER_EXCHANGE_H_
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "libraries/core/result.h"
+#include "services/pomelospar_edge/blackboard.h"
+
+namespace pomelospar::edge {
+
+/// A router of the fleet as its row in the store names it.
+struct PeerAddress {
+  boost::asio::ip::udp::endpoint endpoint;
+  std::string domain;
+};
+
+/// Tells the other routers what this one does, and takes their reports. Reports are hints for
+/// placement and shares: one that is lost is replaced by the next, and nothing that must hold
+/// depends on them.
+class PeerExchange {
+ public:
+  /// Errors: `kUnavailable` if the address cannot be bound.
+  static core::Result<std::unique_ptr<PeerExchange>> Create(Blackboard& board);
+
+  /// Starts to send and to receive.
+  void Start();
+  void Stop();
+  /// The address for this router's row.
+  std::string address() const;
+  /// Null domain and address remove the router with this name.
+  void SetPeer(const std::string& name, std::string_view address, std::string_view domain);
+  void RemovePeer(const std::string& name);
+  /// The key that authenticates messages; the previous one is accepted for a while.
+  void SetKey(std::string key);
+  std::size_t peers() const { return this->addresses.size(); }
+
+ private:
+  PeerExchange(Blackboard& board, boost::asio::ip::udp::socket socket);
+  boost::asio::awaitable<void> ReceiveLoop();
+  boost::asio::awaitable<void> SendLoop();
+  void SendReports();
+  void Receive(std::string_view datagram);
+  dispatch::PeerReport MakeReport();
+  bool IsLarge() const;
+
+  Blackboard& board;
+  boost::asio::ip::udp::socket socket;
+  boost::asio::steady_timer timer;
+  std::map<std::string, PeerAddress> addresses;
+  std::string key;
+  std::string previous_key;
+  std::uint64_t sequence = 0;
+  std::array<char, 16384> buffer{};
+};
+
+}  // namespace pomelospar::edge
+
+#endif  // POMELOSPAR_SERVICES_POMELOSPAR_EDGE_PEER_EXCHANGE_H_
--- /dev/null
+++ b/services/pomelospar_edge/request_session.cc
@@ -0,0 +1,451 @@
+#include "services/pomelospar_edge/request_session.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "libraries/core/identifiers.h"
+
+namespace pomelospar::edge {
+namespace {
+
+namespace asio = boost::asio;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+// A caller with less than this share of the longest patience seen on its route was here before.
+constexpr double kReturningPatience = 0.93;
+// Tries that ended without a byte sent; a fleet with more dead runners than this has others
+// problems.
+constexpr unsigned kMostUnsentTries = 4;
+constexpr core::Duration kRetryWhileStarting = milliseconds(500);
+constexpr std::string_view kNoRunner = "no runner has room";
+
+double ToMilliseconds(core::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+RequestSession::RequestSession(Blackboard& blackboard, http::UpstreamPool& upstream_pool,
+                               http::ServerExchange& server_exchange)
+    : board(blackboard),
+      pool(upstream_pool),
+      exchange(server_exchange),
+      received(blackboard.clock.now()),
+      policy(blackboard.policy) {}
+
+asio::awaitable<void> RequestSession::Run() {
+  std::string malformed;
+  this->facts = adapter::DecodeRequest(this->exchange.request(), malformed);
+  if (!malformed.empty()) {
+    this->board.log.Write(LogLevel::kWarning, "malformed_header",
+                          {{"request", this->facts.attempt_id}, {"header", malformed}});
+  }
+  if (const auto refusal = this->Admit()) {
+    co_await this->Refuse(*refusal);
+    co_return;
+  }
+  this->exchange.SetDisconnectHandler([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) self->OnCallerGone();
+  });
+  this->StartDeadline();
+  this->NoteDemand();
+  while (true) {
+    const bool placed = co_await this->WaitForRunner();
+    if (!placed) break;
+    const auto end = co_await this->Attempt();
+    this->reservation.reset();
+    const auto step = co_await this->AfterAttempt(end);
+    if (step == Step::kEnd) break;
+  }
+  this->deadline_timer->cancel();
+}
+
+std::optional<RequestSession::Refusal> RequestSession::Admit() {
+  if (!this->policy) return Refusal{503, "no configuration yet", kRetryWhileStarting};
+  const auto& request = this->exchange.request();
+  this->route = dispatch::FindRoute(*this->policy, this->facts.host, request.path());
+  const bool fresh = PolicyIsFresh(this->board, this->board.settings.configuration_limit);
+  if (this->route == nullptr) {
+    // A route that this router does not know may have been added since.
+    if (!fresh) return Refusal{503, "configuration may be out of date", kRetryWhileStarting};
+    return Refusal{404, "no route", {}};
+  }
+  if (auto refusal = this->Authenticate()) return refusal;
+  const auto upstream_name =
+      dispatch::ChooseUpstream(*this->route, this->Draw(core::HashName("upstream")));
+  const auto found = this->policy->upstreams.find(std::string(upstream_name));
+  if (found == this->policy->upstreams.end()) {
+    return Refusal{503, "the route's upstream is not declared", kRetryWhileStarting};
+  }
+  this->upstream = &found->second;
+  return std::nullopt;
+}
+
+std::optional<RequestSession::Refusal> RequestSession::Authenticate() {
+  if (!this->policy->has_workspaces || this->route->open_to_all) return std::nullopt;
+  const auto& settings = this->board.settings;
+  if (settings.keys_fail_closed && !PolicyIsFresh(this->board, settings.key_revocation_limit)) {
+    return Refusal{503, "keys cannot be confirmed", kRetryWhileStarting};
+  }
+  const auto* holder =
+      this->facts.api_key ? dispatch::FindWorkspace(*this->policy, *this->facts.api_key) : nullptr;
+  if (holder == nullptr) {
+    if (!PolicyIsFresh(this->board, settings.configuration_limit)) {
+      return Refusal{503, "the key may have been added since", kRetryWhileStarting};
+    }
+    return Refusal{401, "unknown key", {}};
+  }
+  this->workspace = holder->name;
+  return std::nullopt;
+}
+
+// The key may have been taken away while the request waited.
+bool RequestSession::KeyIsStillValid() const {
+  if (this->workspace.empty()) return true;
+  const auto& settings = this->board.settings;
+  if (settings.keys_fail_closed && !PolicyIsFresh(this->board, settings.key_revocation_limit)) {
+    return false;
+  }
+  const auto* holder = dispatch::FindWorkspace(*this->board.policy, *this->facts.api_key);
+  return holder != nullptr && holder->name == this->workspace;
+}
+
+void RequestSession::StartDeadline() {
+  const auto patience = this->facts.patience.value_or(this->route->timeout);
+  auto& full = this->board.full_patience[this->route->name];
+  full = std::max(full, patience);
+  this->standing.returning = ToMilliseconds(patience) < kReturningPatience * ToMilliseconds(full);
+  this->deadline = this->received + std::min(patience, this->route->timeout);
+  this->deadline_timer = std::make_shared<asio::steady_timer>(this->board.io, this->deadline);
+  this->deadline_timer->async_wait(
+      [weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (self && !error) self->OnDeadline();
+      });
+}
+
+void RequestSession::NoteDemand() {
+  const auto now = this->board.clock.now();
+  this->board.retries
+      .try_emplace(this->upstream->name,
+                   dispatch::RetryAllowance({.ratio = this->board.settings.retry_ratio * 0.75,
+                                             .slack = 1.0,
+                                             .window = this->board.settings.retry_window}))
+      .first->second.OnRequest(now);
+  if (!this->upstream->engine || this->workspace.empty()) return;
+  this->share_tokens = ShareTokens(this->facts.prompt);
+  WindowOf(this->board, this->workspace).asked.Add(now, this->share_tokens);
+}
+
+void RequestSession::OnDeadline() {
+  this->deadline_passed = true;
+  if (this->wait_timer) this->wait_timer->cancel();
+  if (this->active_connection != nullptr) this->active_connection->Close();
+}
+
+void RequestSession::OnCallerGone() {
+  this->caller_gone = true;
+  if (this->wait_timer) this->wait_timer->cancel();
+  if (this->active_connection != nullptr) this->active_connection->Close();
+}
+
+asio::awaitable<bool> RequestSession::WaitForRunner() {
+  if (this->TryPlace()) co_return true;
+  const auto hold =
+      this->tried.empty()
+          ? dispatch::HoldLimit(this->route->objective, this->TimeLeft(), this->standing)
+          : dispatch::HoldLimit(this->route->objective * 2, this->TimeLeft(), this->standing);
+  this->wait_timer = std::make_shared<asio::steady_timer>(this->board.io);
+  this->wait_timer->expires_after(hold);
+  Waiter waiter;
+  waiter.rank = this->standing.returning ? 1 : 0;
+  waiter.try_place = [this, timer = this->wait_timer] {
+    if (!this->TryPlace()) return false;
+    timer->cancel();
+    return true;
+  };
+  const auto ticket = this->board.waiting.Add(std::move(waiter));
+  co_await this->wait_timer->async_wait(asio::as_tuple(asio::use_awaitable));
+  this->board.waiting.Remove(ticket);
+  this->wait_timer.reset();
+  if (this->caller_gone) {
+    this->reservation.reset();
+    this->LogEnd(499, "caller_gone", "while it waited");
+    co_return false;
+  }
+  if (this->deadline_passed) {
+    this->reservation.reset();
+    co_await this->EndAtDeadline();
+    co_return false;
+  }
+  if (this->reservation) co_return true;
+  if (this->may_have_run || this->stream_started || this->error_response) {
+    co_await this->EndWithout(AttemptEnd::kNoResponse);
+  } else {
+    const auto refusal = this->NoRoom();
+    co_await this->Refuse(refusal);
+  }
+  co_return false;
+}
+
+RequestSession::Refusal RequestSession::NoRoom() const {
+  return {503, kNoRunner,
+          dispatch::RetryAfter(this->TimeLeft(), this->Draw(core::HashName("back")))};
+}
+
+std::vector<std::shared_ptr<Runner>> RequestSession::Candidates() const {
+  const auto now = this->board.clock.now();
+  std::vector<std::shared_ptr<Runner>> candidates;
+  for (const auto& [id, runner] : this->board.runners) {
+    if (runner->record.upstream != this->upstream->name || !TakesNewWork(*runner)) continue;
+    if (!runner->health.IsUsable(now)) continue;
+    if (std::find(this->tried.begin(), this->tried.end(), id) != this->tried.end()) continue;
+    candidates.push_back(runner);
+  }
+  if (this->board.own_domain_only) {
+    const auto is_other = [&](const auto& runner) {
+      return runner->record.domain != this->board.settings.domain;
+    };
+    const auto others = std::count_if(candidates.begin(), candidates.end(), is_other);
+    if (static_cast<std::size_t>(others) < candidates.size()) std::erase_if(candidates, is_other);
+  }
+  return candidates;
+}
+
+bool RequestSession::TryPlace() {
+  return this->upstream->engine ? this->PlaceEngine(*this->upstream->engine) : this->PlaceService();
+}
+
+double RequestSession::TightestObjectiveMs() const {
+  auto tightest = this->route->objective;
+  for (const auto& other : this->policy->routes) {
+    if (!other.streaming) continue;
+    const bool shared = std::any_of(
+        other.destinations.begin(), other.destinations.end(),
+        [&](const auto& destination) { return destination.upstream == this->upstream->name; });
+    if (shared) tightest = std::min(tightest, other.objective);
+  }
+  return ToMilliseconds(tightest);
+}
+
+bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits) {
+  const auto candidates = this->Candidates();
+  if (candidates.empty()) return false;
+  const auto now = this->board.clock.now();
+  const auto& prompt = this->facts.prompt;
+  std::vector<dispatch::EngineOption> options;
+  options.reserve(candidates.size());
+  for (const auto& runner : candidates) {
+    options.push_back({.load = FleetLoad(this->board, *runner),
+                       .slowdown = runner->health.slowdown(now),
+                       .failure_share = runner->health.failure_share(now),
+                       .cached_tokens = runner->prefixes.CachedTokens(prompt.parts),
+                       .memory_capacity = limits.memory_tokens,
+                       .slots = static_cast<double>(runner->record.slots),
+                       .other_domain = runner->record.domain != this->board.settings.domain});
+  }
+  // Routers do not tell each other what they sent, but agree on the runner where prompts with the
+  // same shared parts meet.
+  const auto key = dispatch::SharedPrefixKey(prompt.parts);
+  if (key != 0) {
+    const auto home = std::max_element(
+        candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) {
+          return core::CombineHashes(key, left->key) < core::CombineHashes(key, right->key);
+        });
+    auto& option = options[static_cast<std::size_t>(home - candidates.begin())];
+    const double shared = prompt.input_tokens - prompt.parts.back().tokens;
+    option.cached_tokens = std::max(option.cached_tokens, shared);
+  }
+  this->standing.beyond_share = IsBeyondShare(this->board, this->workspace, this->share_tokens);
+  const auto& speed = this->board.engine_speed;
+  const double reading = dispatch::ReadingMs(speed, prompt.input_tokens, prompt.input_tokens, 0.0);
+  const dispatch::EngineRequest request = {
+      .prompt_tokens = prompt.input_tokens,
+      .output_tokens = dispatch::ExpectedOutputTokens(prompt),
+      .queue_limit_ms =
+          dispatch::AcceptedQueueMs(speed, this->TightestObjectiveMs(), reading, this->standing)};
+  const auto placement = dispatch::PlaceAtEngine(speed, options, request);
+  if (!placement) return false;
+  const auto& runner = candidates[placement->option];
+  this->predicted_ms = placement->first_event_ms;
+  this->queue_ms = placement->queue_ms;
+  runner->prefixes.Insert(prompt.parts, limits.memory_tokens);
+  this->reservation = std::make_shared<Reservation>(
+      this->board, runner,
+      dispatch::EngineLoad{.unread_tokens = placement->unread_tokens,
+                           .active = 1.0,
+                           .memory_tokens = request.prompt_tokens + request.output_tokens});
+  if (!this->workspace.empty()) {
+    WindowOf(this->board, this->workspace).served.Add(now, this->share_tokens);
+  }
+  return true;
+}
+
+bool RequestSession::PlaceService() {
+  // A plain service queues a few requests beyond its slots.
+  constexpr double kQueueFactor = 2.0;
+  const auto candidates = this->Candidates();
+  const auto now = this->board.clock.now();
+  std::vector<dispatch::ServiceOption> options;
+  options.reserve(candidates.size());
+  for (const auto& runner : candidates) {
+    options.push_back({.active = FleetLoad(this->board, *runner).active,
+                       .slots = static_cast<double>(runner->record.slots),
+                       .latency_ms = std::max(runner->health.latency_ms(), 1.0),
+                       .failure_share = runner->health.failure_share(now),
+                       .other_domain = runner->record.domain != this->board.settings.domain});
+  }
+  const auto chosen = dispatch::PlaceAtService(options, kQueueFactor);
+  if (!chosen) return false;
+  this->reservation = std::make_shared<Reservation>(this->board, candidates[*chosen],
+                                                    dispatch::EngineLoad{.active = 1.0});
+  return true;
+}
+
+bool RequestSession::MayTryAgain(AttemptEnd end) {
+  if (this->caller_gone || this->deadline_passed) return false;
+  if (end == AttemptEnd::kNotSent) return this->unsent_tries < kMostUnsentTries;
+  if (this->sends >= this->route->maximum_attempts) return false;
+  const bool safe = end == AttemptEnd::kNotExecuted && !this->may_have_run;
+  if (!safe && !this->route->idempotent) return false;
+  if (end == AttemptEnd::kBrokenStream && !this->splitter.last_id()) return false;
+  const auto allowance = this->board.retries.find(this->upstream->name);
+  return allowance != this->board.retries.end() &&
+         allowance->second.TryRetry(this->board.clock.now());
+}
+
+asio::awaitable<RequestSession::Step> RequestSession::AfterAttempt(AttemptEnd end) {
+  if (end == AttemptEnd::kDelivered) {
+    co_return Step::kEnd;
+  }
+  if (this->caller_gone || this->exchange.disconnected()) {
+    this->LogEnd(499, "caller_gone", this->failure);
+    co_return Step::kEnd;
+  }
+  if (this->deadline_passed) {
+    co_await this->EndAtDeadline();
+    co_return Step::kEnd;
+  }
+  if (this->MayTryAgain(end)) {
+    this->board.log.Write(LogLevel::kInfo, "retry",
+                          {{"request", this->facts.attempt_id},
+                           {"after", this->tried.empty() ? "" : this->tried.back()},
+                           {"reason", this->failure},
+                           {"sends", std::uint64_t{this->sends}}});
+    co_return Step::kTryAgain;
+  }
+  co_await this->EndWithout(end);
+  co_return Step::kEnd;
+}
+
+asio::awaitable<void> RequestSession::EndWithout(AttemptEnd end) {
+  if (this->stream_started) {
+    this->LogEnd(200, "broken", this->failure);
+    this->exchange.Abort();
+    co_return;
+  }
+  if (this->error_response) {
+    const auto status = this->error_response->status;
+    auto response = std::move(*this->error_response);
+    const auto sent = co_await this->exchange.Respond(std::move(response));
+    this->LogEnd(status, sent ? "error_of_runner" : "caller_gone", this->failure);
+    co_return;
+  }
+  if (!this->may_have_run) {
+    auto refusal = this->NoRoom();
+    refusal.reason = end == AttemptEnd::kNotSent ? "no runner could be reached" : kNoRunner;
+    co_await this->Refuse(refusal);
+    co_return;
+  }
+  co_await this->Fail(502, this->failure);
+}
+
+asio::awaitable<void> RequestSession::EndAtDeadline() {
+  if (this->stream_started) {
+    this->LogEnd(200, "deadline", "the stream was not complete in time");
+    this->exchange.Abort();
+    co_return;
+  }
+  co_await this->Fail(504, "no response in time");
+}
+
+asio::awaitable<void> RequestSession::Refuse(Refusal refusal) {
+  http::HttpResponse response;
+  response.status = refusal.status;
+  response.headers = {{"Content-Type", "application/json"}};
+  if (refusal.retry_after > core::Duration::zero()) {
+    response.headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", ToMilliseconds(refusal.retry_after) / 1e3)});
+  }
+  response.body = fmt::format(R"({{"error":"{}"}})", refusal.reason);
+  this->LogEnd(refusal.status, "refused", refusal.reason);
+  const auto sent = co_await this->exchange.Respond(std::move(response));
+  if (!sent) {
+    this->board.log.Write(LogLevel::kInfo, "caller_gone",
+                          {{"request", this->facts.attempt_id}, {"while", "refusing"}});
+  }
+}
+
+asio::awaitable<void> RequestSession::Fail(unsigned status, std::string_view reason) {
+  http::HttpResponse response;
+  response.status = status;
+  response.headers = {{"Content-Type", "application/json"}};
+  response.body = fmt::format(R"({{"error":"{}"}})", status == 504 ? "timeout" : "bad gateway");
+  this->LogEnd(status, "failed", reason);
+  const auto sent = co_await this->exchange.Respond(std::move(response));
+  if (!sent) {
+    this->board.log.Write(LogLevel::kInfo, "caller_gone",
+                          {{"request", this->facts.attempt_id}, {"while", "failing"}});
+  }
+}
+
+core::Duration RequestSession::TimeLeft() const {
+  return std::max(this->deadline - this->board.clock.now(), core::Duration::zero());
+}
+
+double RequestSession::Draw(std::uint64_t purpose) const {
+  const auto hash = core::CombineHashes(purpose, core::HashName(this->facts.attempt_id));
+  constexpr double kScale = 1.0 / static_cast<double>(1ULL << 53U);
+  return static_cast<double>(hash >> 11U) * kScale;
+}
+
+void RequestSession::LogEnd(unsigned status, std::string_view outcome, std::string_view reason) {
+  const auto now = this->board.clock.now();
+  const double total_ms = ToMilliseconds(now - this->received);
+  const std::string_view route_name = this->route == nullptr ? "" : this->route->name;
+  const double policy_age =
+      this->policy ? ToMilliseconds(this->board.clock.since_boot() - this->board.policy_proven_at)
+                   : -1.0;
+  this->board.log.Write(
+      LogLevel::kInfo, "request",
+      {{"request", this->facts.attempt_id},
+       {"route", route_name},
+       {"workspace", this->workspace},
+       {"status", std::uint64_t{status}},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"runner", this->tried.empty() ? std::string_view() : std::string_view(this->tried.back())},
+       {"sends", std::uint64_t{this->sends}},
+       {"ms", total_ms},
+       {"queue_ms", this->queue_ms},
+       {"predicted_ms", this->predicted_ms},
+       {"beyond_share", this->standing.beyond_share},
+       {"returning", this->standing.returning},
+       {"events", this->splitter.events()},
+       {"policy", this->policy ? this->policy->version : std::uint64_t{0}},
+       {"policy_age_ms", policy_age}});
+  this->board.metrics
+      .FindCounter("pomelospar_requests_total", "Requests by route and outcome.",
+                   {{"route", route_name}, {"outcome", outcome}})
+      .Add();
+  this->board.metrics.FindSeries(this->workspace, route_name)
+      .Record(metrics::Quantity::kWholeTime, total_ms / 1e3);
+}
+
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/services/pomelospar_edge/reservation.cc
@@ -0,0 +1,30 @@
+#include "services/pomelospar_edge/reservation.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace pomelospar::edge {
+
+Reservation::Reservation(Blackboard& blackboard, std::shared_ptr<Runner> runner,
+                         const dispatch::EngineLoad& reserved)
+    : board(blackboard), held(std::move(runner)), amount(reserved) {
+  this->held->own += this->amount;
+}
+
+Reservation::~Reservation() { this->GiveBack(this->amount); }
+
+void Reservation::EndReading() {
+  if (this->amount.unread_tokens <= 0.0) return;
+  const dispatch::EngineLoad read = {.unread_tokens = this->amount.unread_tokens};
+  this->amount.unread_tokens = 0.0;
+  this->GiveBack(read);
+}
+
+void Reservation::GiveBack(const dispatch::EngineLoad& returned) {
+  this->held->own -= returned;
+  if (this->board.waiting.size() == 0) return;
+  // Posted, because the waiters must not run inside of a destructor.
+  boost::asio::post(this->board.io, [&waiting = this->board.waiting] { waiting.TryAll(); });
+}
+
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -0,0 +1,298 @@
+// One try of a request at a runner: the parts of RequestSession that speak to the runner.
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <utility>
+
+#include "services/pomelospar_edge/request_session.h"
+
+namespace pomelospar::edge {
+namespace {
+
+namespace asio = boost::asio;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+// A runner accepts within a few milliseconds; a silent machine is given up after this.
+constexpr core::Duration kConnectTimeout = milliseconds(300);
+// Responses of earlier requests that are passed over on one connection.
+constexpr unsigned kMostStrayResponses = 2;
+// Larger bodies are passed on in pieces instead of being held until they are whole.
+constexpr std::size_t kHeldBodyBytes = 256U << 10U;
+// A runner's timeout may run out while the next request is on its way.
+constexpr core::Duration kIdleMargin = milliseconds(1000);
+
+double ToMilliseconds(core::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+// These statuses promise that a request did not run, which only `not_executed` makes true.
+bool PromisesNotRun(unsigned status) {
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+bool IsEventStream(const http::ResponseHead& head) {
+  const auto type = head.FindHeader("Content-Type");
+  return type && type->starts_with("text/event-stream");
+}
+
+std::optional<std::uint64_t> ParseEventId(const std::optional<std::string>& text) {
+  if (!text) return std::nullopt;
+  std::uint64_t number = 0;
+  const auto* end = text->data() + text->size();
+  const auto [stop, error] = std::from_chars(text->data(), end, number);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return number;
+}
+
+}  // namespace
+
+asio::awaitable<AttemptEnd> RequestSession::Attempt() {
+  auto& runner = this->reservation->runner();
+  this->tried.push_back(runner.record.id);
+  auto acquired = co_await this->pool.Acquire(runner.record.address,
+                                              std::min(kConnectTimeout, this->TimeLeft()));
+  if (!acquired) {
+    this->failure = acquired.error().message;
+    runner.health.OnUnreachable(this->board.clock.now());
+    ++this->unsent_tries;
+    this->board.log.Write(LogLevel::kWarning, "runner_unreachable",
+                          {{"request", this->facts.attempt_id},
+                           {"runner", runner.record.id},
+                           {"error", this->failure}});
+    co_return AttemptEnd::kNotSent;
+  }
+  auto connection = std::move(acquired.value());
+  // The world may have changed while the connection was opened.
+  if (this->caller_gone || this->deadline_passed || !TakesNewWork(runner) ||
+      !this->KeyIsStillValid()) {
+    this->failure = "the runner leaves or the key was taken away";
+    ++this->unsent_tries;
+    this->pool.Release(std::move(connection));
+    co_return AttemptEnd::kNotSent;
+  }
+  connection->AcceptCloseDelimited();
+  this->active_connection = connection.get();
+  this->runner_idle_timeout.reset();
+  const auto end = co_await this->Exchange(*connection);
+  this->active_connection = nullptr;
+  if (this->runner_idle_timeout) {
+    const auto kept = std::max(*this->runner_idle_timeout - kIdleMargin, core::Duration::zero());
+    this->pool.Release(std::move(connection), kept);
+  } else {
+    this->pool.Release(std::move(connection));
+  }
+  co_return end;
+}
+
+asio::awaitable<AttemptEnd> RequestSession::Exchange(http::UpstreamConnection& connection) {
+  auto& runner = this->reservation->runner();
+  adapter::ForwardOptions options;
+  options.runner_id = runner.record.id;
+  options.workspace = this->workspace;
+  options.time_left = this->TimeLeft();
+  if (this->stream_started) options.resume_after = this->splitter.last_id();
+  this->splitter.DropRest();
+  const auto request = adapter::EncodeForward(this->exchange.request(), options);
+  this->sent_at = this->board.clock.now();
+  const auto sent = co_await connection.Send(request, this->TimeLeft());
+  if (!sent && !connection.any_byte_sent()) {
+    this->failure = sent.error().message;
+    ++this->unsent_tries;
+    // A kept connection that the runner closed says nothing about the runner; it is tried again.
+    this->tried.pop_back();
+    co_return AttemptEnd::kNotSent;
+  }
+  ++this->sends;
+  this->may_have_run = true;
+  if (!sent) {
+    this->failure = sent.error().message;
+    runner.health.OnFailure(this->board.clock.now());
+    co_return AttemptEnd::kNoResponse;
+  }
+  auto head = co_await this->ReadOwnHead(connection);
+  if (!head) {
+    this->failure = head.error().message;
+    if (!this->caller_gone && !this->deadline_passed) {
+      runner.health.OnFailure(this->board.clock.now());
+    }
+    co_return AttemptEnd::kNoResponse;
+  }
+  co_return co_await this->TakeResponse(connection, std::move(head.value()));
+}
+
+// Passes over late responses to earlier requests, which a faulty runner sends on kept connections.
+asio::awaitable<core::Result<http::ResponseHead>> RequestSession::ReadOwnHead(
+    http::UpstreamConnection& connection) {
+  for (unsigned stray = 0; stray <= kMostStrayResponses; ++stray) {
+    BOOST_OUTCOME_CO_TRY(auto head, co_await connection.ReadHead(this->TimeLeft()));
+    const auto facts = adapter::DecodeResponse(head);
+    if (!facts.attempt_id || *facts.attempt_id == this->facts.attempt_id) co_return head;
+    this->board.log.Write(LogLevel::kWarning, "stray_response",
+                          {{"request", this->facts.attempt_id},
+                           {"runner", this->tried.back()},
+                           {"of", *facts.attempt_id}});
+    while (true) {
+      BOOST_OUTCOME_CO_TRY(const auto piece, co_await connection.ReadPiece(this->TimeLeft()));
+      if (!piece) break;
+    }
+    connection.ExpectAnotherResponse();
+  }
+  connection.Close();
+  co_return core::MakeError(core::ErrorKind::kMalformed,
+                            "the runner answered other requests on this connection");
+}
+
+asio::awaitable<AttemptEnd> RequestSession::TakeResponse(http::UpstreamConnection& connection,
+                                                         http::ResponseHead head) {
+  auto& runner = this->reservation->runner();
+  const auto now = this->board.clock.now();
+  const auto response = adapter::DecodeResponse(head);
+  this->runner_idle_timeout = response.idle_timeout;
+  if (response.not_executed) {
+    // Only this send is known not to have run; an earlier one may have.
+    if (this->sends == 1) this->may_have_run = false;
+    this->failure = fmt::format("the runner did not execute it: status {}", head.status);
+    if (head.status == 503 || head.status == 429) runner.health.OnFull(now);
+    while (true) {
+      const auto piece = co_await connection.ReadPiece(this->TimeLeft());
+      if (!piece || !piece.value()) break;
+    }
+    co_return AttemptEnd::kNotExecuted;
+  }
+  const bool success = head.status >= 200 && head.status < 300;
+  if (response.encoded || (success && (!response.has_receipt || !response.attempt_id)) ||
+      PromisesNotRun(head.status)) {
+    this->failure = fmt::format("the runner's response cannot be used: status {}", head.status);
+    connection.Close();
+    runner.health.OnFailure(now);
+    co_return AttemptEnd::kNoResponse;
+  }
+  if (success && IsEventStream(head)) {
+    co_return co_await this->RelayEvents(connection, std::move(head));
+  }
+  if (this->stream_started) {
+    this->failure = fmt::format("the runner did not resume the stream: status {}", head.status);
+    connection.Close();
+    co_return AttemptEnd::kBrokenStream;
+  }
+  co_return co_await this->RelayWhole(connection, std::move(head));
+}
+
+asio::awaitable<AttemptEnd> RequestSession::RelayWhole(http::UpstreamConnection& connection,
+                                                       http::ResponseHead head) {
+  auto& runner = this->reservation->runner();
+  http::HttpResponse response;
+  response.status = head.status;
+  response.headers = http::RelayableHeaders(head.headers);
+  while (true) {
+    auto piece = co_await connection.ReadPiece(this->TimeLeft());
+    if (!piece) {
+      this->failure = piece.error().message;
+      runner.health.OnFailure(this->board.clock.now());
+      co_return AttemptEnd::kNoResponse;
+    }
+    if (!piece.value()) break;
+    response.body += *piece.value();
+    if (response.body.size() > this->policy->limits.body_bytes + kHeldBodyBytes) {
+      this->failure = "the runner's response is too large";
+      connection.Close();
+      co_return AttemptEnd::kNoResponse;
+    }
+  }
+  const auto now = this->board.clock.now();
+  if (response.status >= 500) {
+    this->failure = fmt::format("the runner answered with status {}", response.status);
+    runner.health.OnFailure(now);
+    this->error_response = std::move(response);
+    co_return AttemptEnd::kErrorResponse;
+  }
+  runner.health.OnSuccess(now);
+  runner.health.OnLatency(ToMilliseconds(now - this->sent_at));
+  const auto status = response.status;
+  const auto sent = co_await this->exchange.Respond(std::move(response));
+  this->LogEnd(status, sent ? "answered" : "caller_gone", "");
+  co_return AttemptEnd::kDelivered;
+}
+
+void RequestSession::OnFirstEvent() {
+  const auto now = this->board.clock.now();
+  auto& runner = this->reservation->runner();
+  this->reservation->EndReading();
+  const double observed = ToMilliseconds(now - this->sent_at);
+  runner.health.OnFirstEvent(now, observed / std::max(this->predicted_ms, 1.0));
+  this->board.metrics.FindSeries(this->workspace, this->route->name)
+      .Record(metrics::Quantity::kFirstToken, ToMilliseconds(now - this->received) / 1e3);
+  this->board.log.Write(LogLevel::kInfo, "first_event",
+                        {{"request", this->facts.attempt_id},
+                         {"runner", runner.record.id},
+                         {"predicted_ms", this->predicted_ms},
+                         {"queue_ms", this->queue_ms},
+                         {"observed_ms", observed}});
+}
+
+asio::awaitable<bool> RequestSession::ForwardEvents(const http::ResponseHead& head,
+                                                    std::string_view events) {
+  if (!this->stream_started) {
+    this->stream_started = true;
+    http::ResponseHead own = head;
+    own.headers = http::RelayableHeaders(head.headers);
+    own.content_length.reset();
+    own.chunked = true;
+    const auto started = co_await this->exchange.StartStream(std::move(own));
+    if (!started) co_return false;
+  }
+  const auto written = co_await this->exchange.Write(events);
+  co_return written.has_value();
+}
+
+asio::awaitable<AttemptEnd> RequestSession::RelayEvents(http::UpstreamConnection& connection,
+                                                        http::ResponseHead head) {
+  auto& runner = this->reservation->runner();
+  const bool resumed = this->stream_started;
+  const auto resumed_after = ParseEventId(this->splitter.last_id());
+  bool first = true;
+  while (true) {
+    const auto piece = co_await connection.ReadPiece(this->TimeLeft());
+    if (!piece || !piece.value()) {
+      const bool complete = piece && !this->splitter.has_rest() && this->stream_started;
+      if (!complete) {
+        this->failure = piece ? "the runner ended the stream in the middle" : piece.error().message;
+        if (!this->caller_gone && !this->deadline_passed) {
+          runner.health.OnFailure(this->board.clock.now());
+        }
+        co_return this->stream_started ? AttemptEnd::kBrokenStream : AttemptEnd::kNoResponse;
+      }
+      break;
+    }
+    const auto events = this->splitter.Append(*piece.value());
+    if (events.empty()) continue;
+    if (first) {
+      first = false;
+      this->OnFirstEvent();
+      const auto next = ParseEventId(this->splitter.first_new_id());
+      if (resumed && (!next || !resumed_after || *next <= *resumed_after)) {
+        this->failure = "the runner resumed the stream at another event";
+        connection.Close();
+        this->exchange.Abort();
+        this->LogEnd(200, "broken", this->failure);
+        co_return AttemptEnd::kDelivered;
+      }
+    }
+    const bool forwarded = co_await this->ForwardEvents(head, events);
+    if (!forwarded) {
+      this->failure = "the caller does not take the stream";
+      connection.Close();
+      co_return AttemptEnd::kBrokenStream;
+    }
+  }
+  runner.health.OnSuccess(this->board.clock.now());
+  const auto finished = co_await this->exchange.FinishStream();
+  this->LogEnd(200, finished ? "answered" : "caller_gone", "");
+  co_return AttemptEnd::kDelivered;
+}
+
+}  // namespace pomelospar::edge
