--- a/libraries/dispatch/admission.cc
+++ b/libraries/dispatch/admission.cc
@@ -10,8 +10,11 @@
 constexpr double kObjectiveShare = 0.8;
 // A prompt that takes long to read is admitted up to this share of the objective all the same.
 constexpr double kLeastQueueShare = 0.3;
-// A workspace beyond its share uses engines that would otherwise be nearly idle.
-constexpr double kBeyondShareFactor = 0.3;
+// A workspace beyond its share uses engines that would otherwise be nearly idle. Between the two
+// uses the limit falls evenly, so that workspaces with much work settle at the same use.
+constexpr double kBeyondShareFactor = 0.2;
+constexpr double kFullUse = 0.8;
+constexpr double kBeyondUse = 1.2;
 // A late answer is worth less to its caller than one in time to another.
 constexpr double kReturningFactor = 0.6;
 // Share of the objective, or of a returning caller's patience, for which a request may be held.
@@ -20,6 +23,11 @@
 // Callers follow a Retry-After of up to a third of the time that they have left.
 constexpr double kFollowedShare = 0.32;
 
+double ShareFactor(double use) {
+  const double beyond = std::clamp((use - kFullUse) / (kBeyondUse - kFullUse), 0.0, 1.0);
+  return 1.0 - beyond * (1.0 - kBeyondShareFactor);
+}
+
 }  // namespace
 
 double AcceptedQueueMs(const EngineSpeed& speed, double tightest_objective_ms, double reading_ms,
@@ -27,7 +35,7 @@
   const double in_time =
       kObjectiveShare * tightest_objective_ms - speed.first_event_ms - reading_ms;
   double limit = std::max(in_time, kLeastQueueShare * tightest_objective_ms);
-  if (standing.beyond_share) limit *= kBeyondShareFactor;
+  limit *= ShareFactor(standing.share_use);
   if (standing.returning) limit *= kReturningFactor;
   return limit;
 }
--- a/libraries/dispatch/admission.h
+++ b/libraries/dispatch/admission.h
@@ -8,8 +8,8 @@
 
 /// How a request stands when there is more work than the engines can do.
 struct Standing {
-  /// Its workspace has received its max-min share in the present window.
-  bool beyond_share = false;
+  /// What its workspace has received in the present window over its max-min share.
+  double share_use = 0.0;
   /// Its caller comes back after a refusal, so that its objective is missed already.
   bool returning = false;
 };
--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -8,6 +8,7 @@
 
 #include "libraries/core/clock.h"
 #include "libraries/dispatch/engine_model.h"
+#include "libraries/dispatch/prompt.h"
 
 namespace pomelospar::dispatch {
 
@@ -17,6 +18,12 @@
   double served = 0.0;
 };
 
+/// A router sent a prompt that begins with these parts to a runner, which then keeps them.
+struct PrefixRead {
+  std::uint64_t runner = 0;
+  std::vector<PromptPart> parts;
+};
+
 /// What one router tells the others about its own work. Keys are hashes of names.
 struct PeerReport {
   std::string sender;
@@ -25,6 +32,8 @@
   std::uint64_t sequence = 0;
   std::unordered_map<std::uint64_t, EngineLoad> runners;
   std::unordered_map<std::uint64_t, WorkspaceUsage> workspaces;
+  /// Since the report before.
+  std::vector<PrefixRead> reads;
 };
 
 /// The latest reports of the other routers and their sums.
--- a/services/pomelospar_edge/blackboard.cc
+++ b/services/pomelospar_edge/blackboard.cc
@@ -30,12 +30,20 @@
   return board.workspaces.try_emplace(workspace, board.settings.share_window).first->second;
 }
 
-bool IsBeyondShare(Blackboard& board, const std::string& workspace, double tokens) {
-  if (workspace.empty() || board.share_level <= 0.0) return false;
+double ShareUse(Blackboard& board, const std::string& workspace, double tokens) {
+  if (workspace.empty() || board.share_level <= 0.0) return 0.0;
   const auto now = board.clock.now();
   const auto peers = board.peers.UsageOf(core::HashName(workspace));
   const double served = WindowOf(board, workspace).served.Sum(now) + peers.served;
-  return served + tokens > board.share_level;
+  return (served + tokens) / board.share_level;
+}
+
+void NoteRead(Runner& runner, const dispatch::EngineLimits& limits, const dispatch::EngineLoad& load,
+              std::span<const dispatch::PromptPart> parts) {
+  // Running requests take their memory from the cache.
+  constexpr double kLeastCacheShare = 0.1;
+  const double left = limits.memory_tokens - load.memory_tokens;
+  runner.prefixes.Insert(parts, std::max(left, limits.memory_tokens * kLeastCacheShare));
 }
 
 void UpdateShareLevel(Blackboard& board) {
@@ -45,9 +53,14 @@
   }
   const auto now = board.clock.now();
   std::unordered_map<std::uint64_t, double> demand;
-  for (const auto& [key, usage] : board.peers.usage()) demand[key] += usage.asked;
+  double served = 0.0;
+  for (const auto& [key, usage] : board.peers.usage()) {
+    demand[key] += usage.asked;
+    served += usage.served;
+  }
   for (const auto& [name, window] : board.workspaces) {
     demand[core::HashName(name)] += window.asked.Sum(now);
+    served += window.served.Sum(now);
   }
   std::vector<double> demands;
   demands.reserve(demand.size());
--- a/services/pomelospar_edge/blackboard.h
+++ b/services/pomelospar_edge/blackboard.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -73,6 +74,10 @@
 
   /// By identifier.
   std::map<std::string, std::shared_ptr<Runner>> runners;
+  /// The same runners by their key.
+  std::unordered_map<std::uint64_t, std::shared_ptr<Runner>> runners_by_key;
+  /// Prompts placed since the last report to the other routers.
+  std::vector<dispatch::PrefixRead> recent_reads;
   /// The directory of runners was read at least once.
   bool runners_known = false;
 
@@ -99,6 +104,10 @@
 /// The runner's work of all routers, as far as known.
 dispatch::EngineLoad FleetLoad(const Blackboard& board, const Runner& runner);
 
+/// Notes that the runner reads these parts, so that prompts that share them are sent there too.
+void NoteRead(Runner& runner, const dispatch::EngineLimits& limits, const dispatch::EngineLoad& load,
+              std::span<const dispatch::PromptPart> parts);
+
 /// True if new work may be sent to the runner.
 bool TakesNewWork(const Runner& runner);
 
@@ -107,8 +116,9 @@
 
 WorkspaceWindow& WindowOf(Blackboard& board, const std::string& workspace);
 
-/// True if the workspace has received its share of the window at all routers.
-bool IsBeyondShare(Blackboard& board, const std::string& workspace, double tokens);
+/// What the workspace has received in the window at all routers, with `tokens` more, over its
+/// max-min share; 0 while all demand can be met.
+double ShareUse(Blackboard& board, const std::string& workspace, double tokens);
 
 /// Computes `share_level` from the demand at all routers.
 void UpdateShareLevel(Blackboard& board);
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -108,9 +108,22 @@
     return;
   }
   if (report.value().sender == this->board.settings.ip) return;
+  this->NoteReads(report.value());
   this->board.peers.Apply(std::move(report.value()), this->board.clock.now());
 }
 
+void PeerExchange::NoteReads(const dispatch::PeerReport& report) {
+  if (!this->board.policy) return;
+  for (const auto& read : report.reads) {
+    const auto found = this->board.runners_by_key.find(read.runner);
+    if (found == this->board.runners_by_key.end()) continue;
+    auto& runner = *found->second;
+    const auto upstream = this->board.policy->upstreams.find(runner.record.upstream);
+    if (upstream == this->board.policy->upstreams.end() || !upstream->second.engine) continue;
+    NoteRead(runner, *upstream->second.engine, FleetLoad(this->board, runner), read.parts);
+  }
+}
+
 asio::awaitable<void> PeerExchange::SendLoop() {
   while (this->socket.is_open()) {
     this->timer.expires_after(this->IsLarge() ? kLargeFleetPeriod : kSmallFleetPeriod);
@@ -140,11 +153,15 @@
     const dispatch::WorkspaceUsage usage = {window.asked.Sum(now), window.served.Sum(now)};
     if (usage.asked > 0.0) report.workspaces.emplace(core::HashName(name), usage);
   }
+  report.reads = std::exchange(this->board.recent_reads, {});
   return report;
 }
 
 void PeerExchange::SendReports() {
-  if (this->key.empty() || this->addresses.empty()) return;
+  if (this->key.empty() || this->addresses.empty()) {
+    this->board.recent_reads.clear();
+    return;
+  }
   const auto datagram = SealReport(this->MakeReport(), this->key);
   for (const auto& [name, peer] : this->addresses) {
     if (this->IsLarge() && peer.domain != this->board.settings.domain) continue;
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -48,6 +48,7 @@
   boost::asio::awaitable<void> SendLoop();
   void SendReports();
   void Receive(std::string_view datagram);
+  void NoteReads(const dispatch::PeerReport& report);
   dispatch::PeerReport MakeReport();
   bool IsLarge() const;
 
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -37,6 +37,15 @@
     report.workspaces[entry.at(0).get<std::uint64_t>()] = {entry.at(1).get<double>(),
                                                            entry.at(2).get<double>()};
   }
+  for (const auto& entry : json.at(5)) {
+    dispatch::PrefixRead read;
+    read.runner = entry.at(0).get<std::uint64_t>();
+    for (std::size_t index = 1; index + 1 < entry.size(); index += 2) {
+      read.parts.push_back(
+          {entry.at(index).get<std::uint64_t>(), entry.at(index + 1).get<double>()});
+    }
+    report.reads.push_back(std::move(read));
+  }
   return report;
 }
 
@@ -55,8 +64,17 @@
   for (const auto& [workspace, usage] : report.workspaces) {
     workspaces.push_back({workspace, Whole(usage.asked), Whole(usage.served)});
   }
-  const Json json = {report.sender, report.incarnation, report.sequence, std::move(runners),
-                     std::move(workspaces)};
+  auto reads = Json::array();
+  for (const auto& read : report.reads) {
+    Json entry = {read.runner};
+    for (const auto& part : read.parts) {
+      entry.push_back(part.id);
+      entry.push_back(Whole(part.tokens));
+    }
+    reads.push_back(std::move(entry));
+  }
+  const Json json = {report.sender,         report.incarnation,    report.sequence,
+                     std::move(runners),    std::move(workspaces), std::move(reads)};
   std::string payload;
   Json::to_cbor(json, payload);
   return Authenticator(payload, key) + payload;
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -23,6 +23,8 @@
 // problems.
 constexpr unsigned kMostUnsentTries = 4;
 constexpr core::Duration kRetryWhileStarting = milliseconds(500);
+// A runner that keeps this share of the shared parts saves most of the reading.
+constexpr double kKeptShare = 0.9;
 constexpr std::string_view kNoRunner = "no runner has room";
 
 double ToMilliseconds(core::Duration duration) {
@@ -250,19 +252,24 @@
                        .slots = static_cast<double>(runner->record.slots),
                        .other_domain = runner->record.domain != this->board.settings.domain});
   }
-  // Routers do not tell each other what they sent, but agree on the runner where prompts with the
-  // same shared parts meet.
+  // Prompts with the same shared parts that arrive at several routers at once meet at the runner
+  // that all routers agree on.
   const auto key = dispatch::SharedPrefixKey(prompt.parts);
-  if (key != 0) {
+  const double shared =
+      prompt.parts.empty() ? 0.0 : prompt.input_tokens - prompt.parts.back().tokens;
+  const bool kept_somewhere =
+      std::any_of(options.begin(), options.end(), [&](const dispatch::EngineOption& option) {
+        return option.cached_tokens >= shared * kKeptShare;
+      });
+  if (key != 0 && !kept_somewhere) {
     const auto home = std::max_element(
         candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) {
           return core::CombineHashes(key, left->key) < core::CombineHashes(key, right->key);
         });
     auto& option = options[static_cast<std::size_t>(home - candidates.begin())];
-    const double shared = prompt.input_tokens - prompt.parts.back().tokens;
-    option.cached_tokens = std::max(option.cached_tokens, shared);
+    option.cached_tokens = shared;
   }
-  this->standing.beyond_share = IsBeyondShare(this->board, this->workspace, this->share_tokens);
+  this->standing.share_use = ShareUse(this->board, this->workspace, this->share_tokens);
   const auto& speed = this->board.engine_speed;
   const double reading = dispatch::ReadingMs(speed, prompt.input_tokens, prompt.input_tokens, 0.0);
   const dispatch::EngineRequest request = {
@@ -275,7 +282,12 @@
   const auto& runner = candidates[placement->option];
   this->predicted_ms = placement->first_event_ms;
   this->queue_ms = placement->queue_ms;
-  runner->prefixes.Insert(prompt.parts, limits.memory_tokens);
+  this->cached_tokens = prompt.input_tokens - placement->unread_tokens;
+  NoteRead(*runner, limits, options[placement->option].load, prompt.parts);
+  if (prompt.parts.size() > 1) {
+    this->board.recent_reads.push_back(
+        {runner->key, {prompt.parts.begin(), prompt.parts.end() - 1}});
+  }
   this->reservation = std::make_shared<Reservation>(
       this->board, runner,
       dispatch::EngineLoad{.unread_tokens = placement->unread_tokens,
@@ -435,7 +447,9 @@
        {"ms", total_ms},
        {"queue_ms", this->queue_ms},
        {"predicted_ms", this->predicted_ms},
-       {"beyond_share", this->standing.beyond_share},
+       {"share_use", this->standing.share_use},
+       {"cached_tokens", this->cached_tokens},
+       {"prompt_tokens", this->facts.prompt.input_tokens},
        {"returning", this->standing.returning},
        {"events", this->splitter.events()},
        {"policy", this->policy ? this->policy->version : std::uint64_t{0}},
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -121,6 +121,7 @@
   std::shared_ptr<Reservation> reservation;
   double predicted_ms = 0.0;
   double queue_ms = 0.0;
+  double cached_tokens = 0.0;
   bool deadline_passed = false;
   bool caller_gone = false;
 
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -196,6 +196,7 @@
   if (!known) {
     runner = std::make_shared<Runner>();
     runner->key = core::HashName(row.key);
+    this->board.runners_by_key[runner->key] = runner;
   }
   runner->removal_due.reset();
   if (known && runner->record == record.value()) return;
@@ -250,6 +251,7 @@
   this->board.log.Write(LogLevel::kInfo, "runner_removed", {{"runner", id}, {"reason", reason}});
   found->second->record.draining = true;
   this->pool.Forget(found->second->record.address);
+  this->board.runners_by_key.erase(found->second->key);
   this->board.runners.erase(found);
 }
 
