--- a/libraries/dispatch/admission.cc
+++ b/libraries/dispatch/admission.cc
@@ -11,8 +11,9 @@
 // A prompt that takes long to read is admitted up to this share of the objective all the same.
 constexpr double kLeastQueueShare = 0.3;
 // A workspace beyond its share uses engines that would otherwise be nearly idle. Between the two
-// uses the limit falls evenly, so that workspaces with much work settle at the same use.
-constexpr double kBeyondShareFactor = 0.2;
+// uses the limit falls evenly and then with the square, so that workspaces with much work settle at
+// the same use.
+constexpr double kBeyondShareFactor = 0.35;
 constexpr double kFullUse = 0.8;
 constexpr double kBeyondUse = 1.2;
 // A late answer is worth less to its caller than one in time to another.
@@ -24,7 +25,8 @@
 constexpr double kFollowedShare = 0.32;
 
 double ShareFactor(double use) {
-  const double beyond = std::clamp((use - kFullUse) / (kBeyondUse - kFullUse), 0.0, 1.0);
+  if (use > kBeyondUse) return kBeyondShareFactor * kBeyondUse * kBeyondUse / (use * use);
+  const double beyond = std::max((use - kFullUse) / (kBeyondUse - kFullUse), 0.0);
   return 1.0 - beyond * (1.0 - kBeyondShareFactor);
 }
 
--- a/services/pomelospar_edge/blackboard.cc
+++ b/services/pomelospar_edge/blackboard.cc
@@ -26,8 +26,10 @@
   return prompt.input_tokens + kGeneratedWeight * dispatch::ExpectedOutputTokens(prompt);
 }
 
+core::Duration ShareWindow(const Blackboard& board) { return board.settings.share_window / 3; }
+
 WorkspaceWindow& WindowOf(Blackboard& board, const std::string& workspace) {
-  return board.workspaces.try_emplace(workspace, board.settings.share_window).first->second;
+  return board.workspaces.try_emplace(workspace, ShareWindow(board)).first->second;
 }
 
 double ShareUse(Blackboard& board, const std::string& workspace, double tokens) {
@@ -65,7 +67,7 @@
   std::vector<double> demands;
   demands.reserve(demand.size());
   for (const auto& [key, tokens] : demand) demands.push_back(tokens);
-  const double seconds = std::chrono::duration<double>(board.settings.share_window).count();
+  const double seconds = std::chrono::duration<double>(ShareWindow(board)).count();
   board.share_level = dispatch::MaxMinLevel(demands, board.policy->tokens_per_second * seconds);
 }
 
--- a/services/pomelospar_edge/blackboard.h
+++ b/services/pomelospar_edge/blackboard.h
@@ -119,6 +119,10 @@
 /// Tokens for which a request counts in the shares of workspaces.
 double ShareTokens(const dispatch::Prompt& prompt);
 
+/// Window in which this router compares workspaces. A part of the operator's, so that a workspace
+/// which had the engines to itself does not wait for the whole window when others come.
+core::Duration ShareWindow(const Blackboard& board);
+
 WorkspaceWindow& WindowOf(Blackboard& board, const std::string& workspace);
 
 /// What the workspace has received in the window at all routers, with `tokens` more, over its
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -24,6 +24,8 @@
 // problems.
 constexpr unsigned kMostUnsentTries = 4;
 constexpr core::Duration kRetryWhileStarting = milliseconds(500);
+// Retries reach other routers.
+constexpr core::Duration kRetryElsewhere = milliseconds(1);
 // A runner that keeps this share of the shared parts saves most of the reading.
 constexpr double kKeptShare = 0.9;
 constexpr std::string_view kNoRunner = "no runner has room";
@@ -80,6 +82,10 @@
     return Refusal{404, "no route", {}};
   }
   if (auto refusal = this->Authenticate()) return refusal;
+  if (this->board.stopping && this->route->streaming) {
+    // The stream would be cut at the end of this process; another router can serve it whole.
+    return Refusal{503, "this router stops", kRetryElsewhere};
+  }
   const auto upstream_name =
       dispatch::ChooseUpstream(*this->route, this->Draw(core::HashName("upstream")));
   const auto found = this->policy->upstreams.find(std::string(upstream_name));
