Edge: Accept queued connections in one turn, shed by processor load, ask the store less often

Cause: on the grown site one caller sends 600 requests a second to one router of 0.12 core; it accepted one connection a turn. Shedding answers 503 with an early return, so that retries reach other routers.

--- a/libraries/core/log.cc
+++ b/libraries/core/log.cc
@@ -1,12 +1,15 @@
 #include "libraries/core/log.h"
 
 #include <fmt/chrono.h>
-#include <fmt/core.h>
+#include <fmt/format.h>
 #include <tbb/concurrent_queue.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -41,6 +44,46 @@
                      (now - seconds).count());
 }
 
+// Built by hand, because a line for each request through a JSON object costs a small instance more
+// than relaying a short response.
+bool IsPlain(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char byte) {
+    return byte >= ' ' && byte != '"' && byte != '\\' && byte != '\x7f';
+  });
+}
+
+void AppendQuoted(fmt::memory_buffer& line, std::string_view text) {
+  if (IsPlain(text)) {
+    line.push_back('"');
+    line.append(text);
+    line.push_back('"');
+    return;
+  }
+  // Callers choose some field values, so bytes that are not UTF-8 are replaced instead of refused.
+  line.append(
+      nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void AppendValue(fmt::memory_buffer& line, std::string_view value) { AppendQuoted(line, value); }
+
+void AppendValue(fmt::memory_buffer& line, bool value) {
+  line.append(value ? std::string_view("true") : std::string_view("false"));
+}
+
+void AppendValue(fmt::memory_buffer& line, double value) {
+  // JSON has no word for infinity.
+  if (std::isfinite(value)) {
+    fmt::format_to(std::back_inserter(line), "{:.3f}", value);
+  } else {
+    line.append(std::string_view("null"));
+  }
+}
+
+template <typename Integer>
+void AppendValue(fmt::memory_buffer& line, Integer value) {
+  fmt::format_to(std::back_inserter(line), "{}", value);
+}
+
 }  // namespace
 
 struct Log::State {
@@ -65,15 +108,18 @@
 
 std::string FormatLogLine(LogLevel level, std::string_view message,
                           std::initializer_list<LogField> fields) {
-  nlohmann::ordered_json object;
-  object["time"] = Timestamp();
-  object["level"] = LevelName(level);
-  object["message"] = message;
+  fmt::memory_buffer line;
+  const auto out = std::back_inserter(line);
+  fmt::format_to(out, R"({{"time":"{}","level":"{}","message":)", Timestamp(), LevelName(level));
+  AppendQuoted(line, message);
   for (const auto& field : fields) {
-    std::visit([&](const auto& value) { object[std::string(field.key)] = value; }, field.value);
+    line.push_back(',');
+    AppendQuoted(line, field.key);
+    line.push_back(':');
+    std::visit([&](const auto& value) { AppendValue(line, value); }, field.value);
   }
-  // Callers choose some field values, so bytes that are not UTF-8 are replaced instead of refused.
-  return object.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  line.push_back('}');
+  return fmt::to_string(line);
 }
 
 Log::Log(std::unique_ptr<State> state) : state(std::move(state)) {}
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -61,6 +61,8 @@
   std::string name;
   /// Connections that one runner accepts from all routers together.
   std::size_t maximum_connections = 0;
+  /// The shortest objective of the streaming routes that lead here; derived from the routes.
+  core::Duration tightest_objective{};
   /// Absent for plain services.
   std::optional<EngineLimits> engine;
 };
@@ -95,7 +97,7 @@
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
 };
 
-/// Fills `routes_by_host`. Call once after `routes` is complete.
+/// Fills what is derived from `routes`. Call once after routes and upstreams are complete.
 void IndexRoutes(Policy& policy);
 
 /// The route whose prefix is the longest that begins the path; null if there is none. A port in
--- /dev/null
+++ b/libraries/dispatch/processor_load.h
@@ -0,0 +1,26 @@
+#ifndef POMELOSPAR_LIBRARIES_DISPATCH_PROCESSOR_LOAD_H_
+#define POMELOSPAR_LIBRARIES_DISPATCH_PROCESSOR_LOAD_H_
+
+#include "libraries/core/clock.h"
+
+namespace pomelospar::dispatch {
+
+/// Judges by the lateness of a periodic timer whether this process has more work than processor
+/// time, and which share of new requests it should turn away. Answers one caller that sends many
+/// times its usual to the one router that its connections lead to: a refusal costs a tenth of the
+/// request, and the next try reaches another router.
+class ProcessorLoad {
+ public:
+  /// Call when the timer fires, with the time since it was due.
+  void OnTimer(core::Duration lateness);
+  /// Share of new requests to turn away, from 0 to 1.
+  double refused_share() const;
+  double lateness_ms() const { return this->mean_lateness_ms; }
+
+ private:
+  double mean_lateness_ms = 0.0;
+};
+
+}  // namespace pomelospar::dispatch
+
+#endif  // POMELOSPAR_LIBRARIES_DISPATCH_PROCESSOR_LOAD_H_
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,8 @@
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 /// Connections beyond the limit that get a 503 at the same time; further ones are closed at once.
 constexpr std::size_t kRefusedAtOnce = 100;
+/// Connections accepted in one turn of the event loop, so that requests in progress go on.
+constexpr std::size_t kAcceptedAtOnce = 64;
 
 std::string RemoteAddress(const tcp::socket& socket) {
   boost::system::error_code error;
@@ -65,6 +68,18 @@
                    [connection](const std::exception_ptr&) {});
   }
 
+  /// Accepts connections that already wait, up to `most`. Without this each turn of the event loop
+  /// accepts one, and under load new callers wait until they give up.
+  void AcceptQueued(std::size_t most) {
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    for (std::size_t count = 0; !error && count < most; ++count) {
+      tcp::socket socket(this->acceptor.get_executor());
+      this->acceptor.accept(socket, error);
+      if (!error) this->Start(std::move(socket));
+    }
+  }
+
   ServerOptions options;
   std::shared_ptr<ServerState> server = std::make_shared<ServerState>();
   std::shared_ptr<TlsContext> tls;
@@ -82,6 +97,7 @@
         continue;
       }
       state->Start(std::move(socket));
+      state->AcceptQueued(kAcceptedAtOnce);
     }
   }
 };
@@ -126,13 +142,7 @@
 
 void HttpServer::StopAccepting() {
   this->state->server->stopping = true;
-  boost::system::error_code error;
-  this->state->acceptor.non_blocking(true, error);
-  while (!error) {
-    tcp::socket socket(this->state->acceptor.get_executor());
-    this->state->acceptor.accept(socket, error);
-    if (!error) this->state->Start(std::move(socket));
-  }
+  this->state->AcceptQueued(std::numeric_limits<std::size_t>::max());
   boost::system::error_code ignored;
   this->state->acceptor.close(ignored);
   const std::vector<ServerConnection*> open(this->state->server->connections.begin(),
--- a/services/pomelospar_edge/blackboard.cc
+++ b/services/pomelospar_edge/blackboard.cc
@@ -8,6 +8,13 @@
 
 namespace pomelospar::edge {
 
+void IndexRunners(Blackboard& board) {
+  board.runners_by_upstream.clear();
+  for (const auto& [id, runner] : board.runners) {
+    board.runners_by_upstream[runner->record.upstream].push_back(runner);
+  }
+}
+
 bool PolicyIsFresh(const Blackboard& board, core::Duration limit) {
   return board.policy && board.clock.since_boot() - board.policy_proven_at <= limit;
 }
--- a/services/pomelospar_edge/blackboard.h
+++ b/services/pomelospar_edge/blackboard.h
@@ -19,6 +19,7 @@
 #include "libraries/dispatch/peer_view.h"
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/prefix_record.h"
+#include "libraries/dispatch/processor_load.h"
 #include "libraries/dispatch/retry_allowance.h"
 #include "libraries/dispatch/runner.h"
 #include "libraries/dispatch/runner_health.h"
@@ -31,7 +32,7 @@
 
 /// A runner as this router knows it. Requests in progress keep it alive after it has left the
 /// directory.
-struct Runner {
+struct Runner : std::enable_shared_from_this<Runner> {
   dispatch::RunnerRecord record;
   /// Hash of the identifier, its name in messages between routers.
   std::uint64_t key = 0;
@@ -77,6 +78,8 @@
   std::map<std::string, std::shared_ptr<Runner>> runners;
   /// The same runners by their key.
   std::unordered_map<std::uint64_t, std::shared_ptr<Runner>> runners_by_key;
+  /// The same runners by the name of their upstream.
+  std::unordered_map<std::string, std::vector<std::shared_ptr<Runner>>> runners_by_upstream;
   /// Prompt tokens sent to engines since the last report to the other routers.
   double unreported_tokens = 0.0;
   /// Called when much was sent since the last report.
@@ -100,9 +103,15 @@
   /// By route name: the longest patience of a caller. A caller with clearly less was here before.
   std::unordered_map<std::string, core::Duration> full_patience;
   WaitQueue waiting;
+  /// The waiting requests will be tried in this turn.
+  bool room_came_free = false;
+  dispatch::ProcessorLoad processor;
   bool stopping = false;
 };
 
+/// Fills `runners_by_upstream` after a change of `runners`.
+void IndexRunners(Blackboard& board);
+
 /// True if the newest configuration was confirmed within `limit`.
 bool PolicyIsFresh(const Blackboard& board, core::Duration limit);
 
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -24,10 +24,12 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr core::Duration kTickPeriod = milliseconds(100);
+constexpr core::Duration kTickPeriod = milliseconds(50);
 // Shares change with the demand of some seconds; the settings file by hand.
-constexpr std::uint64_t kTicksPerShareUpdate = 2;
-constexpr std::uint64_t kTicksPerSettingsCheck = 20;
+constexpr std::uint64_t kTicksPerShareUpdate = 4;
+constexpr std::uint64_t kTicksPerLogWrite = 4;
+constexpr std::uint64_t kTicksPerLoadLine = 20;
+constexpr std::uint64_t kTicksPerSettingsCheck = 40;
 // The platform stops sending callers after two questions a second apart without a 200.
 constexpr core::Duration kAcceptAfterStop = milliseconds(2600);
 // Left for the process to end before it is killed.
@@ -148,6 +150,7 @@
   this->tick_timer.expires_after(kTickPeriod);
   this->tick_timer.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
+    this->board.processor.OnTimer(this->board.clock.now() - this->tick_timer.expiry());
     this->Tick();
     this->ScheduleTick();
   });
@@ -163,7 +166,23 @@
     this->was_ready = ready;
     this->log.Write(LogLevel::kInfo, "readiness", {{"ready", ready}});
   }
-  this->log.Flush();
+  if (this->ticks % kTicksPerLoadLine == 0) this->LogLoad();
+  if (this->ticks % kTicksPerLogWrite == 0) this->log.Flush();
+}
+
+void Edge::LogLoad() {
+  const double age = std::chrono::duration<double, std::milli>(this->board.clock.since_boot() -
+                                                               this->board.policy_proven_at)
+                         .count();
+  this->log.Write(LogLevel::kInfo, "load",
+                  {{"connections", std::uint64_t{this->caller_server->connections()}},
+                   {"requests", std::uint64_t{this->caller_server->active_exchanges()}},
+                   {"waiting", std::uint64_t{this->board.waiting.size()}},
+                   {"lateness_ms", this->board.processor.lateness_ms()},
+                   {"peers", std::uint64_t{this->board.peers.size()}},
+                   {"runners", std::uint64_t{this->board.runners.size()}},
+                   {"share_level", this->board.share_level},
+                   {"policy_age_ms", age}});
 }
 
 void Edge::ReloadSettings() {
@@ -194,7 +213,25 @@
   return PolicyIsFresh(this->board, limit);
 }
 
+// Spreads the refusals evenly over the requests.
+bool Edge::ShedsNext() {
+  this->shed_debt += this->board.processor.refused_share();
+  if (this->shed_debt < 1.0) return false;
+  this->shed_debt -= 1.0;
+  return true;
+}
+
 asio::awaitable<void> Edge::Serve(http::ServerExchange& exchange) {
+  if (this->ShedsNext()) {
+    http::HttpResponse response;
+    response.status = 503;
+    response.headers = {{"Retry-After", "0.001"}};
+    const auto sent = co_await exchange.Respond(std::move(response));
+    this->log.Write(LogLevel::kWarning, "shed",
+                    {{"lateness_ms", this->board.processor.lateness_ms()},
+                     {"sent", sent.has_value()}});
+    co_return;
+  }
   const auto session = std::make_shared<RequestSession>(this->board, this->pool, exchange);
   co_await session->Run();
 }
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -37,9 +37,11 @@
   void AwaitSignals();
   void Tick();
   void ScheduleTick();
+  void LogLoad();
   void ReloadSettings();
   void ApplyCallerLimits();
   bool IsReady() const;
+  bool ShedsNext();
   boost::asio::awaitable<void> Serve(http::ServerExchange& exchange);
   boost::asio::awaitable<void> AnswerReadiness(http::ServerExchange& exchange);
   boost::asio::awaitable<void> AnswerMetrics(http::ServerExchange& exchange);
@@ -61,6 +63,7 @@
   std::unique_ptr<http::HttpServer> readiness_server;
   std::unique_ptr<http::HttpServer> metrics_server;
   bool was_ready = false;
+  double shed_debt = 0.0;
 };
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -208,21 +208,25 @@
           dispatch::RetryAfter(this->TimeLeft(), this->Draw(core::HashName("back")))};
 }
 
-std::vector<std::shared_ptr<Runner>> RequestSession::Candidates() const {
+std::vector<Runner*> RequestSession::Candidates() const {
+  std::vector<Runner*> candidates;
+  const auto found = this->board.runners_by_upstream.find(this->upstream->name);
+  if (found == this->board.runners_by_upstream.end()) return candidates;
   const auto now = this->board.clock.now();
-  std::vector<std::shared_ptr<Runner>> candidates;
-  for (const auto& [id, runner] : this->board.runners) {
-    if (runner->record.upstream != this->upstream->name || !TakesNewWork(*runner)) continue;
-    if (!runner->health.IsUsable(now)) continue;
-    if (std::find(this->tried.begin(), this->tried.end(), id) != this->tried.end()) continue;
-    candidates.push_back(runner);
+  bool any_in_domain = false;
+  candidates.reserve(found->second.size());
+  for (const auto& runner : found->second) {
+    if (!TakesNewWork(*runner) || !runner->health.IsUsable(now)) continue;
+    if (std::find(this->tried.begin(), this->tried.end(), runner->record.id) != this->tried.end()) {
+      continue;
+    }
+    any_in_domain = any_in_domain || runner->record.domain == this->board.settings.domain;
+    candidates.push_back(runner.get());
   }
-  if (this->board.own_domain_only) {
-    const auto is_other = [&](const auto& runner) {
+  if (this->board.own_domain_only && any_in_domain) {
+    std::erase_if(candidates, [&](const Runner* runner) {
       return runner->record.domain != this->board.settings.domain;
-    };
-    const auto others = std::count_if(candidates.begin(), candidates.end(), is_other);
-    if (static_cast<std::size_t>(others) < candidates.size()) std::erase_if(candidates, is_other);
+    });
   }
   return candidates;
 }
@@ -231,18 +235,6 @@
   return this->upstream->engine ? this->PlaceEngine(*this->upstream->engine) : this->PlaceService();
 }
 
-double RequestSession::TightestObjectiveMs() const {
-  auto tightest = this->route->objective;
-  for (const auto& other : this->policy->routes) {
-    if (!other.streaming) continue;
-    const bool shared = std::any_of(
-        other.destinations.begin(), other.destinations.end(),
-        [&](const auto& destination) { return destination.upstream == this->upstream->name; });
-    if (shared) tightest = std::min(tightest, other.objective);
-  }
-  return ToMilliseconds(tightest);
-}
-
 bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits) {
   const auto candidates = this->Candidates();
   if (candidates.empty()) return false;
@@ -250,7 +242,7 @@
   const auto& prompt = this->facts.prompt;
   std::vector<dispatch::EngineOption> options;
   options.reserve(candidates.size());
-  for (const auto& runner : candidates) {
+  for (const auto* runner : candidates) {
     options.push_back({.load = FleetLoad(this->board, *runner),
                        .slowdown = runner->health.slowdown(now),
                        .failure_share = runner->health.failure_share(now),
@@ -282,10 +274,10 @@
       .prompt_tokens = prompt.input_tokens,
       .output_tokens = dispatch::ExpectedOutputTokens(prompt),
       .queue_limit_ms =
-          dispatch::AcceptedQueueMs(speed, this->TightestObjectiveMs(), reading, this->standing)};
+          dispatch::AcceptedQueueMs(speed, ToMilliseconds(this->upstream->tightest_objective), reading, this->standing)};
   const auto placement = dispatch::PlaceAtEngine(speed, options, request);
   if (!placement) return false;
-  const auto& runner = candidates[placement->option];
+  auto* runner = candidates[placement->option];
   this->predicted_ms = placement->first_event_ms;
   this->queue_ms = placement->queue_ms;
   this->cached_tokens = prompt.input_tokens - placement->unread_tokens;
@@ -295,7 +287,7 @@
         {runner->key, {prompt.parts.begin(), prompt.parts.end() - 1}});
   }
   this->reservation = std::make_shared<Reservation>(
-      this->board, runner,
+      this->board, runner->shared_from_this(),
       dispatch::EngineLoad{.unread_tokens = placement->unread_tokens,
                            .active = 1.0,
                            .memory_tokens = request.prompt_tokens + request.output_tokens});
@@ -314,7 +306,7 @@
   const auto now = this->board.clock.now();
   std::vector<dispatch::ServiceOption> options;
   options.reserve(candidates.size());
-  for (const auto& runner : candidates) {
+  for (const auto* runner : candidates) {
     options.push_back({.active = FleetLoad(this->board, *runner).active,
                        .slots = static_cast<double>(runner->record.slots),
                        .latency_ms = std::max(runner->health.latency_ms(), 1.0),
@@ -323,7 +315,7 @@
   }
   const auto chosen = dispatch::PlaceAtService(options, kQueueFactor);
   if (!chosen) return false;
-  this->reservation = std::make_shared<Reservation>(this->board, candidates[*chosen],
+  this->reservation = std::make_shared<Reservation>(this->board, candidates[*chosen]->shared_from_this(),
                                                     dispatch::EngineLoad{.active = 1.0});
   return true;
 }
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -68,8 +68,7 @@
   bool TryPlace();
   bool PlaceEngine(const dispatch::EngineLimits& limits);
   bool PlaceService();
-  std::vector<std::shared_ptr<Runner>> Candidates() const;
-  double TightestObjectiveMs() const;
+  std::vector<Runner*> Candidates() const;
   Refusal NoRoom() const;
 
   // One try, in runner_attempt.cc.
--- a/services/pomelospar_edge/reservation.cc
+++ b/services/pomelospar_edge/reservation.cc
@@ -22,9 +22,14 @@
 
 void Reservation::GiveBack(const dispatch::EngineLoad& returned) {
   this->held->own -= returned;
-  if (this->board.waiting.size() == 0) return;
-  // Posted, because the waiters must not run inside of a destructor.
-  boost::asio::post(this->board.io, [&waiting = this->board.waiting] { waiting.TryAll(); });
+  if (this->board.waiting.size() == 0 || this->board.room_came_free) return;
+  // Posted, because the waiters must not run inside of a destructor, and once for all that ends in
+  // the same turn.
+  this->board.room_came_free = true;
+  boost::asio::post(this->board.io, [&board = this->board] {
+    board.room_came_free = false;
+    board.waiting.TryAll();
+  });
 }
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -30,9 +30,11 @@
 
 // An answer takes 4 ms on the users' sheets; a call beyond this is lost or the store is down.
 constexpr core::Duration kCallTimeout = milliseconds(700);
-// Keys must be confirmed about every second: the longest age allowed is a few seconds.
-constexpr core::Duration kPolicyWait = milliseconds(700);
-constexpr core::Duration kRunnerWait = milliseconds(1500);
+// Keys must be confirmed several times within the longest age allowed; calls of all routers are
+// priced, so not more often than that.
+constexpr int kConfirmationsPerKeyLimit = 3;
+// A feed that went silent has to be noticed within the time in which a leaving runner must be known.
+constexpr core::Duration kRunnerWait = milliseconds(2000);
 constexpr core::Duration kRouterWait = milliseconds(10000);
 // Runners write several times a second together; their leaving has to be known within 2 s.
 constexpr core::Duration kRunnerPause = milliseconds(250);
@@ -59,7 +61,7 @@
       peers(peer_exchange),
       on_policy(std::move(policy_callback)) {
   this->policy_watch = {.table = std::string(adapter::kOperatorTable),
-                        .wait = kPolicyWait,
+                        .wait = this->board.settings.key_revocation_limit / kConfirmationsPerKeyLimit,
                         .apply = [this](const auto& rows, bool whole, core::Duration asked_at) {
                           this->ApplyPolicy(rows, whole, asked_at);
                         }};
@@ -180,6 +182,7 @@
       this->ApplyRunner(row);
     }
   }
+  IndexRunners(this->board);
   this->board.runners_known = true;
 }
 
@@ -218,7 +221,6 @@
                          {"draining", runner->record.draining},
                          {"restarted", restarted},
                          {"row_version", row.version}});
-  this->board.waiting.TryAll();
 }
 
 void StoreSync::MissRunner(const std::string& id) {
@@ -253,6 +255,7 @@
   this->pool.Forget(found->second->record.address);
   this->board.runners_by_key.erase(found->second->key);
   this->board.runners.erase(found);
+  IndexRunners(this->board);
 }
 
 void StoreSync::ApplyRouters(const adapter::StoreRows& rows, bool whole) {
--- a/services/pomelospar_edge/wait_queue.cc
+++ b/services/pomelospar_edge/wait_queue.cc
@@ -6,8 +6,8 @@
 namespace pomelospar::edge {
 namespace {
 
-// Placing takes some microseconds for each; the rest is tried at the next event.
-constexpr std::size_t kTriesAtOnce = 48;
+// When so many in a row found no room, those behind them will find none either.
+constexpr std::size_t kFailuresInARow = 6;
 
 }  // namespace
 
@@ -20,11 +20,15 @@
 void WaitQueue::Remove(Ticket ticket) { this->waiters.erase(ticket); }
 
 void WaitQueue::TryAll() {
-  std::size_t tries = 0;
+  std::size_t failures = 0;
   for (auto& waiter : this->waiters) {
     if (!waiter.try_place) continue;
-    if (++tries > kTriesAtOnce) break;
-    if (waiter.try_place()) waiter.try_place = nullptr;
+    if (waiter.try_place()) {
+      waiter.try_place = nullptr;
+      failures = 0;
+    } else if (++failures >= kFailuresInARow) {
+      break;
+    }
   }
 }
 
