--- a/libraries/core/log.cc
+++ b/libraries/core/log.cc
@@ -60,8 +60,7 @@
     return;
   }
   // Callers choose some field values, so bytes that are not UTF-8 are replaced instead of refused.
-  line.append(
-      nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  line.append(nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void AppendValue(fmt::memory_buffer& line, std::string_view value) { AppendQuoted(line, value); }
--- a/libraries/dispatch/placement.cc
+++ b/libraries/dispatch/placement.cc
@@ -12,8 +12,8 @@
 constexpr double kFailureCostMs = 1500.0;
 // An engine that fails more than this takes no request while another one can.
 constexpr double kHighestFailureShare = 0.6;
-// Reading delays all other requests of the engine, and parts that are read at one engine push others
-// out of its cache: a kept prefix is worth a wait of so many times its reading.
+// Reading delays all other requests of the engine, and parts that are read at one engine push
+// others out of its cache: a kept prefix is worth a wait of so many times its reading.
 constexpr double kReadingWeight = 4.0;
 // Prefers the own domain among equals; the way there and back takes about a millisecond.
 constexpr double kOtherDomainMs = 2.0;
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -41,9 +41,9 @@
 };
 
 /// Answers a load in which prompts, about half of each shared with others, arrive faster than the
-/// engines read them: the engine that begins soonest is taken, with the reading counted several times
-/// because it delays all others there. Engines whose queue, slots or memory would go
-/// beyond the limits are not offered; nothing is returned if no engine is left.
+/// engines read them: the engine that begins soonest is taken, with the reading counted several
+/// times because it delays all others there. Engines whose queue, slots or memory would go beyond
+/// the limits are not offered; nothing is returned if no engine is left.
 std::optional<EnginePlacement> PlaceAtEngine(const EngineSpeed& speed,
                                              std::span<const EngineOption> options,
                                              const EngineRequest& request);
--- a/libraries/dispatch/processor_load.h
+++ b/libraries/dispatch/processor_load.h
@@ -12,13 +12,17 @@
 class ProcessorLoad {
  public:
   /// Call when the timer fires, with the time since it was due.
-  void OnTimer(core::Duration lateness);
+  void OnTimer(core::TimePoint now, core::Duration lateness);
+  /// True while callers should be led to other instances: from an overload until some seconds
+  /// after.
+  bool IsOverloaded(core::TimePoint now) const;
   /// Share of new requests to turn away, from 0 to 1.
   double refused_share() const;
   double lateness_ms() const { return this->mean_lateness_ms; }
 
  private:
   double mean_lateness_ms = 0.0;
+  core::TimePoint overloaded_until{};
 };
 
 }  // namespace pomelospar::dispatch
--- a/libraries/http/byte_stream.cc
+++ b/libraries/http/byte_stream.cc
@@ -119,6 +119,13 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool ByteStream::IsAtEnd() {
+  if (!this->is_open()) return true;
+  char byte = 0;
+  const auto count = recv(this->state->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 core::Result<tcp::endpoint> ParseEndpoint(std::string_view address) {
   const auto failure = [&] {
     return core::MakeError(core::ErrorKind::kInvalidArgument,
--- a/libraries/http/byte_stream.h
+++ b/libraries/http/byte_stream.h
@@ -55,6 +55,8 @@
   bool is_open() const;
   /// True if nothing waits to be read and the peer has not closed. Does not block.
   bool IsQuiet();
+  /// True if the peer has closed and nothing waits to be read. Does not block.
+  bool IsAtEnd();
 
  private:
   struct State;
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -24,9 +24,9 @@
 using RequestParser = beast::http::request_parser<beast::http::string_body>;
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-/// An idle connection holds a small block; a full one makes the next larger, so that 2,000 streams
-/// stay cheap and a large body still arrives in few system calls.
-constexpr std::size_t kSmallestReadBlock = 2U << 10U;
+/// An idle connection holds a small block; a full one makes the next larger. A prompt of common
+/// size arrives in one system call.
+constexpr std::size_t kSmallestReadBlock = 14U << 10U;
 constexpr std::size_t kLargestReadBlock = 64U << 10U;
 /// Bytes of following requests that are read ahead while a request is served.
 constexpr std::size_t kReadAheadLimit = 16U << 10U;
@@ -435,6 +435,10 @@
   this->stream->Close();
 }
 
+bool ServerConnection::PeerHasClosed() {
+  return this->disconnected() || (this->input.empty() && this->stream->IsAtEnd());
+}
+
 void ServerConnection::SetDisconnectHandler(std::function<void()> handler) {
   this->disconnect_handler = std::move(handler);
   if (!this->disconnected()) return;
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -52,6 +52,7 @@
   const HttpRequest& request() const { return this->current_request; }
   bool started() const { return this->phase != Phase::kNotStarted; }
   bool disconnected() const { return this->input_closed || !this->stream->is_open(); }
+  bool PeerHasClosed();
   boost::asio::awaitable<core::Result<void>> Respond(HttpResponse response);
   boost::asio::awaitable<core::Result<void>> StartStream(ResponseHead head);
   boost::asio::awaitable<core::Result<void>> Write(std::string_view piece);
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -34,6 +34,10 @@
   /// True once the caller has closed its connection or the response was aborted.
   bool disconnected() const;
 
+  /// Asks the system whether the caller has closed, by one system call. `disconnected` knows it
+  /// only after the event loop has come to it, which takes a while on a busy instance.
+  bool PeerHasClosed();
+
   /// Sends a whole response.
   boost::asio::awaitable<core::Result<void>> Respond(HttpResponse response);
   /// Sends the head of a response whose body follows in pieces, in chunks or with a known length.
--- a/services/pomelospar_edge/blackboard.cc
+++ b/services/pomelospar_edge/blackboard.cc
@@ -47,8 +47,8 @@
   return (served + tokens) / board.share_level;
 }
 
-void NoteRead(Runner& runner, const dispatch::EngineLimits& limits, const dispatch::EngineLoad& load,
-              std::span<const dispatch::PromptPart> parts) {
+void NoteRead(Runner& runner, const dispatch::EngineLimits& limits,
+              const dispatch::EngineLoad& load, std::span<const dispatch::PromptPart> parts) {
   // Running requests take their memory from the cache.
   constexpr double kLeastCacheShare = 0.1;
   const double left = limits.memory_tokens - load.memory_tokens;
--- a/services/pomelospar_edge/blackboard.h
+++ b/services/pomelospar_edge/blackboard.h
@@ -91,9 +91,9 @@
 
   dispatch::EngineSpeed engine_speed;
   dispatch::PeerView peers;
-  /// The fleet is so large that only the routers of one failure domain exchange reports. The load
-  /// of runners elsewhere is not known, so they are used only if the own domain has none.
-  bool own_domain_only = false;
+  /// The fleet is so large that routers of other failure domains report seldom. Runners there are
+  /// used only if those of the own domain have no room.
+  bool own_domain_first = false;
   /// By workspace name.
   std::unordered_map<std::string, WorkspaceWindow> workspaces;
   /// Tokens that each workspace may receive in the share window before it is beyond its share.
@@ -119,8 +119,8 @@
 dispatch::EngineLoad FleetLoad(const Blackboard& board, const Runner& runner);
 
 /// Notes that the runner reads these parts, so that prompts that share them are sent there too.
-void NoteRead(Runner& runner, const dispatch::EngineLimits& limits, const dispatch::EngineLoad& load,
-              std::span<const dispatch::PromptPart> parts);
+void NoteRead(Runner& runner, const dispatch::EngineLimits& limits,
+              const dispatch::EngineLoad& load, std::span<const dispatch::PromptPart> parts);
 
 /// True if new work may be sent to the runner.
 bool TakesNewWork(const Runner& runner);
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -150,7 +150,8 @@
   this->tick_timer.expires_after(kTickPeriod);
   this->tick_timer.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    this->board.processor.OnTimer(this->board.clock.now() - this->tick_timer.expiry());
+    const auto now = this->board.clock.now();
+    this->board.processor.OnTimer(now, now - this->tick_timer.expiry());
     this->Tick();
     this->ScheduleTick();
   });
@@ -161,6 +162,8 @@
   this->sync->DropLapsedRunners();
   if (this->ticks % kTicksPerShareUpdate == 0) UpdateShareLevel(this->board);
   if (this->ticks % kTicksPerSettingsCheck == 0) this->ReloadSettings();
+  this->caller_server->CloseAfterResponses(
+      this->board.stopping || this->board.processor.IsOverloaded(this->board.clock.now()));
   const bool ready = this->IsReady();
   if (ready != this->was_ready) {
     this->was_ready = ready;
@@ -207,6 +210,7 @@
 
 bool Edge::IsReady() const {
   if (this->board.stopping || !this->board.policy || !this->board.runners_known) return false;
+  if (this->board.processor.IsOverloaded(this->board.clock.now())) return false;
   if (!this->board.settings.keys_fail_closed) return true;
   const auto limit = std::chrono::duration_cast<core::Duration>(
       this->board.settings.key_revocation_limit * kReadyShare);
@@ -227,9 +231,9 @@
     response.status = 503;
     response.headers = {{"Retry-After", "0.001"}};
     const auto sent = co_await exchange.Respond(std::move(response));
-    this->log.Write(LogLevel::kWarning, "shed",
-                    {{"lateness_ms", this->board.processor.lateness_ms()},
-                     {"sent", sent.has_value()}});
+    this->log.Write(
+        LogLevel::kWarning, "shed",
+        {{"lateness_ms", this->board.processor.lateness_ms()}, {"sent", sent.has_value()}});
     co_return;
   }
   const auto session = std::make_shared<RequestSession>(this->board, this->pool, exchange);
@@ -256,7 +260,7 @@
   const auto limit = begun + this->board.settings.stop_grace - kStopMargin;
   this->log.Write(LogLevel::kInfo, "stop",
                   {{"requests", std::uint64_t{this->caller_server->active_exchanges()}}});
-  this->caller_server->CloseAfterResponses();
+  this->caller_server->CloseAfterResponses(true);
   asio::co_spawn(this->io, this->sync->Unregister(), asio::detached);
   asio::steady_timer timer(this->io);
   timer.expires_at(std::min(begun + kAcceptAfterStop, limit));
--- a/services/pomelospar_edge/main.cc
+++ b/services/pomelospar_edge/main.cc
@@ -1,5 +1,6 @@
 #include <fmt/core.h>
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -19,6 +20,9 @@
 // Exit codes, also in docs/OPERATIONS.md.
 constexpr int kFailed = 1;
 constexpr int kUsage = 2;
+// 10% and 1% of the memory of the smallest instance (160 MB).
+constexpr int kKeptHeapBytes = 16 << 20;
+constexpr int kHeapStepBytes = 1 << 20;
 
 int Fail(int code, std::string_view message) {
   fmt::print(stderr, "pomelospar_edge: {}\n", message);
@@ -49,6 +53,9 @@
   if (!settings) return Fail(kUsage, settings.error().message);
   if (FLAGS_check) return 0;
   std::signal(SIGPIPE, SIG_IGN);
+  // Freed memory is kept for the next request instead of being returned by a system call.
+  mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes);
+  mallopt(M_TOP_PAD, kHeapStepBytes);
   auto edge =
       pomelospar::edge::Edge::Create(path, std::move(document), std::move(settings.value()));
   if (!edge) return Fail(kFailed, edge.error().message);
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -2,12 +2,12 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <algorithm>
 #include <utility>
 
 #include "libraries/core/identifiers.h"
@@ -23,8 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-// Up to this many routers each tells all others; beyond, only those of its failure domain, and less
-// often, so that a router receives at most about 150 reports a second.
+// Beyond this many routers, reports are sent less often, and still less often to other failure
+// domains, so that a router of a fleet of 80 receives about 160 reports a second.
 constexpr std::size_t kFullExchange = 16;
 constexpr core::Duration kSmallFleetPeriod = milliseconds(80);
 // Work beyond this is reported at once, or else several routers would choose the same idle engine
@@ -32,8 +32,9 @@
 constexpr double kReportedAtOnceTokens = 1500.0;
 constexpr core::Duration kShortestPeriod = milliseconds(15);
 constexpr core::Duration kLargeFleetPeriod = milliseconds(250);
+constexpr std::uint64_t kReportsPerOtherDomain = 4;
 // A router that was silent for so long is cut off or gone.
-constexpr core::Duration kReportLifetime = milliseconds(1500);
+constexpr core::Duration kReportLifetime = milliseconds(2200);
 
 }  // namespace
 
@@ -146,7 +147,7 @@
     if (!this->socket.is_open()) break;
     this->last_report = this->board.clock.now();
     this->board.unreported_tokens = 0.0;
-    this->board.own_domain_only = this->IsLarge();
+    this->board.own_domain_first = this->IsLarge();
     const auto now = this->board.clock.now();
     const auto expired = this->board.peers.Expire(now, kReportLifetime);
     if (expired > 0) {
@@ -181,7 +182,8 @@
   }
   const auto datagram = SealReport(this->MakeReport(), this->key);
   for (const auto& [name, peer] : this->addresses) {
-    if (this->IsLarge() && peer.domain != this->board.settings.domain) continue;
+    const bool other_domain = peer.domain != this->board.settings.domain;
+    if (this->IsLarge() && other_domain && this->sequence % kReportsPerOtherDomain != 0) continue;
     boost::system::error_code ignored;
     // A datagram that cannot be sent now is replaced by the next one.
     this->socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -73,8 +73,8 @@
     }
     reads.push_back(std::move(entry));
   }
-  const Json json = {report.sender,         report.incarnation,    report.sequence,
-                     std::move(runners),    std::move(workspaces), std::move(reads)};
+  const Json json = {report.sender,      report.incarnation,    report.sequence,
+                     std::move(runners), std::move(workspaces), std::move(reads)};
   std::string payload;
   Json::to_cbor(json, payload);
   return Authenticator(payload, key) + payload;
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -18,7 +18,8 @@
 using std::chrono::milliseconds;
 
 // A caller with less than this share of the longest patience seen on its route was here before:
-// callers of one kind differ by up to 15%, and one that follows Retry-After has lost a sixth or more.
+// callers of one kind differ by up to 15%, and one that follows Retry-After has lost a sixth or
+// more.
 constexpr double kReturningPatience = 0.84;
 // Tries that ended without a byte sent; a fleet with more dead runners than this has others
 // problems.
@@ -28,6 +29,11 @@
 constexpr core::Duration kRetryElsewhere = milliseconds(1);
 // A runner that keeps this share of the shared parts saves most of the reading.
 constexpr double kKeptShare = 0.9;
+// Runners of other failure domains that are looked at for one request.
+constexpr std::size_t kSampledRunners = 12;
+// Share of the slots and the queue that is used of a runner whose load was reported up to a second
+// ago; the other routers there use the rest.
+constexpr double kOldViewShare = 0.7;
 constexpr std::string_view kNoRunner = "no runner has room";
 
 double ToMilliseconds(core::Duration duration) {
@@ -208,35 +214,52 @@
           dispatch::RetryAfter(this->TimeLeft(), this->Draw(core::HashName("back")))};
 }
 
-std::vector<Runner*> RequestSession::Candidates() const {
+std::vector<Runner*> RequestSession::Candidates(Reach reach) const {
   std::vector<Runner*> candidates;
   const auto found = this->board.runners_by_upstream.find(this->upstream->name);
   if (found == this->board.runners_by_upstream.end()) return candidates;
   const auto now = this->board.clock.now();
-  bool any_in_domain = false;
   candidates.reserve(found->second.size());
   for (const auto& runner : found->second) {
+    const bool own = runner->record.domain == this->board.settings.domain;
+    if ((reach == Reach::kOwnDomain && !own) || (reach == Reach::kOtherDomains && own)) continue;
     if (!TakesNewWork(*runner) || !runner->health.IsUsable(now)) continue;
     if (std::find(this->tried.begin(), this->tried.end(), runner->record.id) != this->tried.end()) {
       continue;
     }
-    any_in_domain = any_in_domain || runner->record.domain == this->board.settings.domain;
     candidates.push_back(runner.get());
   }
-  if (this->board.own_domain_only && any_in_domain) {
-    std::erase_if(candidates, [&](const Runner* runner) {
-      return runner->record.domain != this->board.settings.domain;
-    });
-  }
+  return candidates;
+}
+
+// A few of the candidates, other ones for each request, so that routers with the same old view do
+// not all choose the same runner.
+std::vector<Runner*> RequestSession::Sample(std::vector<Runner*> candidates) const {
+  if (candidates.size() <= kSampledRunners) return candidates;
+  const auto seed = core::HashName(this->facts.attempt_id);
+  std::nth_element(candidates.begin(), candidates.begin() + kSampledRunners, candidates.end(),
+                   [&](const Runner* left, const Runner* right) {
+                     return core::CombineHashes(seed, left->key) <
+                            core::CombineHashes(seed, right->key);
+                   });
+  candidates.resize(kSampledRunners);
   return candidates;
 }
 
 bool RequestSession::TryPlace() {
-  return this->upstream->engine ? this->PlaceEngine(*this->upstream->engine) : this->PlaceService();
+  if (!this->upstream->engine) return this->PlaceService();
+  const auto& limits = *this->upstream->engine;
+  if (!this->board.own_domain_first) {
+    return this->PlaceEngine(limits, this->Candidates(Reach::kAll), 1.0);
+  }
+  if (this->PlaceEngine(limits, this->Candidates(Reach::kOwnDomain), 1.0)) return true;
+  return this->PlaceEngine(limits, this->Sample(this->Candidates(Reach::kOtherDomains)),
+                           kOldViewShare);
 }
 
-bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits) {
-  const auto candidates = this->Candidates();
+// `share` of the slots and of the accepted queue are used, for runners whose load is known late.
+bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits,
+                                 const std::vector<Runner*>& candidates, double share) {
   if (candidates.empty()) return false;
   const auto now = this->board.clock.now();
   const auto& prompt = this->facts.prompt;
@@ -248,7 +271,7 @@
                        .failure_share = runner->health.failure_share(now),
                        .cached_tokens = runner->prefixes.CachedTokens(prompt.parts),
                        .memory_capacity = limits.memory_tokens,
-                       .slots = static_cast<double>(runner->record.slots),
+                       .slots = static_cast<double>(runner->record.slots) * share,
                        .other_domain = runner->record.domain != this->board.settings.domain});
   }
   // Prompts with the same shared parts that arrive at several routers at once meet at the runner
@@ -274,7 +297,9 @@
       .prompt_tokens = prompt.input_tokens,
       .output_tokens = dispatch::ExpectedOutputTokens(prompt),
       .queue_limit_ms =
-          dispatch::AcceptedQueueMs(speed, ToMilliseconds(this->upstream->tightest_objective), reading, this->standing)};
+          dispatch::AcceptedQueueMs(speed, ToMilliseconds(this->upstream->tightest_objective),
+                                    reading, this->standing) *
+          share};
   const auto placement = dispatch::PlaceAtEngine(speed, options, request);
   if (!placement) return false;
   auto* runner = candidates[placement->option];
@@ -302,7 +327,7 @@
 bool RequestSession::PlaceService() {
   // A plain service queues a few requests beyond its slots.
   constexpr double kQueueFactor = 2.0;
-  const auto candidates = this->Candidates();
+  const auto candidates = this->Candidates(Reach::kAll);
   const auto now = this->board.clock.now();
   std::vector<dispatch::ServiceOption> options;
   options.reserve(candidates.size());
@@ -315,8 +340,8 @@
   }
   const auto chosen = dispatch::PlaceAtService(options, kQueueFactor);
   if (!chosen) return false;
-  this->reservation = std::make_shared<Reservation>(this->board, candidates[*chosen]->shared_from_this(),
-                                                    dispatch::EngineLoad{.active = 1.0});
+  this->reservation = std::make_shared<Reservation>(
+      this->board, candidates[*chosen]->shared_from_this(), dispatch::EngineLoad{.active = 1.0});
   return true;
 }
 
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -53,6 +53,8 @@
     core::Duration retry_after{};
   };
   enum class Step { kTryAgain, kEnd };
+  /// Failure domains whose runners are considered.
+  enum class Reach { kAll, kOwnDomain, kOtherDomains };
 
   // Admission.
   std::optional<Refusal> Admit();
@@ -66,9 +68,11 @@
   // Placement.
   boost::asio::awaitable<bool> WaitForRunner();
   bool TryPlace();
-  bool PlaceEngine(const dispatch::EngineLimits& limits);
+  bool PlaceEngine(const dispatch::EngineLimits& limits, const std::vector<Runner*>& candidates,
+                   double share);
   bool PlaceService();
-  std::vector<Runner*> Candidates() const;
+  std::vector<Runner*> Candidates(Reach reach) const;
+  std::vector<Runner*> Sample(std::vector<Runner*> candidates) const;
   Refusal NoRoom() const;
 
   // One try, in runner_attempt.cc.
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -23,6 +23,8 @@
 // Larger bodies are passed on in pieces instead of being held until they are whole.
 constexpr std::size_t kHeldBodyBytes = 256U << 10U;
 // A runner's timeout may run out while the next request is on its way.
+// Beyond this lateness of the event loop a caller's close is looked for before each send.
+constexpr double kLateMs = 3.0;
 constexpr core::Duration kIdleMargin = milliseconds(1000);
 
 double ToMilliseconds(core::Duration duration) {
@@ -66,7 +68,11 @@
     co_return AttemptEnd::kNotSent;
   }
   auto connection = std::move(acquired.value());
-  // The world may have changed while the connection was opened.
+  // The world may have changed while the connection was opened. On a late event loop the caller may
+  // have left long before its close is seen.
+  if (this->board.processor.lateness_ms() > kLateMs && this->exchange.PeerHasClosed()) {
+    this->caller_gone = true;
+  }
   if (this->caller_gone || this->deadline_passed || !TakesNewWork(runner) ||
       !this->KeyIsStillValid()) {
     this->failure = "the runner leaves or the key was taken away";
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -33,7 +33,8 @@
 // Keys must be confirmed several times within the longest age allowed; calls of all routers are
 // priced, so not more often than that.
 constexpr int kConfirmationsPerKeyLimit = 3;
-// A feed that went silent has to be noticed within the time in which a leaving runner must be known.
+// A feed that went silent has to be noticed within the time in which a leaving runner must be
+// known.
 constexpr core::Duration kRunnerWait = milliseconds(2000);
 constexpr core::Duration kRouterWait = milliseconds(10000);
 // Runners write several times a second together; their leaving has to be known within 2 s.
@@ -60,11 +61,12 @@
       pool(upstream_pool),
       peers(peer_exchange),
       on_policy(std::move(policy_callback)) {
-  this->policy_watch = {.table = std::string(adapter::kOperatorTable),
-                        .wait = this->board.settings.key_revocation_limit / kConfirmationsPerKeyLimit,
-                        .apply = [this](const auto& rows, bool whole, core::Duration asked_at) {
-                          this->ApplyPolicy(rows, whole, asked_at);
-                        }};
+  this->policy_watch = {
+      .table = std::string(adapter::kOperatorTable),
+      .wait = this->board.settings.key_revocation_limit / kConfirmationsPerKeyLimit,
+      .apply = [this](const auto& rows, bool whole, core::Duration asked_at) {
+        this->ApplyPolicy(rows, whole, asked_at);
+      }};
   this->runner_watch = {.table = std::string(adapter::kRunnerTable),
                         .wait = kRunnerWait,
                         .pause = kRunnerPause,
--- /dev/null
+++ b/tests/libraries/dispatch/placement_test.cc
@@ -0,0 +1,139 @@
+#include "libraries/dispatch/placement.h"
+
+#include <gmock/gmock.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+#include "libraries/dispatch/admission.h"
+
+namespace pomelospar::dispatch {
+namespace {
+
+EngineOption IdleEngine() { return {.memory_capacity = 900'000.0, .slots = 128.0}; }
+
+EngineRequest Draft() {
+  return {.prompt_tokens = 12'000.0, .output_tokens = 380.0, .queue_limit_ms = 400.0};
+}
+
+// Guards against shared parts that are read again at every engine: the one that keeps them is worth
+// a wait.
+TEST(PlaceAtEngineTest, PrefersTheEngineThatKeepsThePrefix) {
+  std::vector<EngineOption> options = {IdleEngine(), IdleEngine()};
+  options[1].cached_tokens = 5'400.0;
+  options[1].load.unread_tokens = 6'000.0;
+  const auto placement = PlaceAtEngine({}, options, Draft());
+  ASSERT_TRUE(placement.has_value());
+  EXPECT_EQ(placement->option, 1U);
+  EXPECT_DOUBLE_EQ(placement->unread_tokens, 6'600.0);
+}
+
+// Guards against a hot prefix that queues everything at one engine while others are idle.
+TEST(PlaceAtEngineTest, LeavesAnEngineWhoseQueueIsTooLong) {
+  std::vector<EngineOption> options = {IdleEngine(), IdleEngine()};
+  options[1].cached_tokens = 5'400.0;
+  options[1].load.unread_tokens = 60'000.0;
+  const auto placement = PlaceAtEngine({}, options, Draft());
+  ASSERT_TRUE(placement.has_value());
+  EXPECT_EQ(placement->option, 0U);
+}
+
+// Guards against requests that are sent to engines at their limit, where they would be preempted or
+// wait behind others: they are not offered at all.
+TEST(PlaceAtEngineTest, OffersNoEngineWithoutSlotsMemoryOrTime) {
+  auto no_slots = IdleEngine();
+  no_slots.load.active = 128.0;
+  auto no_memory = IdleEngine();
+  no_memory.load.memory_tokens = 890'000.0;
+  auto no_time = IdleEngine();
+  no_time.load.unread_tokens = 80'000.0;
+  const std::vector<EngineOption> options = {no_slots, no_memory, no_time};
+  EXPECT_FALSE(PlaceAtEngine({}, options, Draft()).has_value());
+}
+
+// Guards against a slow engine that looks idle because it answers so little.
+TEST(PlaceAtEngineTest, AvoidsSlowAndFailingEngines) {
+  std::vector<EngineOption> options = {IdleEngine(), IdleEngine(), IdleEngine()};
+  options[0].slowdown = 5.0;
+  options[1].failure_share = 0.5;
+  options[2].load.unread_tokens = 8'000.0;
+  const auto placement = PlaceAtEngine({}, options, Draft());
+  ASSERT_TRUE(placement.has_value());
+  EXPECT_EQ(placement->option, 2U);
+}
+
+// Guards against a choice beyond any limit, whatever the load.
+RC_GTEST_PROP(PlaceAtEngineTest, NeverExceedsTheLimits, ()) {
+  const auto count = *rc::gen::inRange<std::size_t>(0, 12);
+  std::vector<EngineOption> options(count);
+  for (auto& option : options) {
+    option = IdleEngine();
+    option.load.active = *rc::gen::inRange(0, 140);
+    option.load.unread_tokens = *rc::gen::inRange(0, 100'000);
+    option.load.memory_tokens = *rc::gen::inRange(0, 1'000'000);
+    option.slowdown = *rc::gen::inRange(1, 10);
+  }
+  const auto placement = PlaceAtEngine({}, options, Draft());
+  if (!placement) return;
+  const auto& chosen = options.at(placement->option);
+  RC_ASSERT(chosen.load.active < chosen.slots);
+  RC_ASSERT(placement->queue_ms <= Draft().queue_limit_ms);
+  RC_ASSERT(chosen.load.memory_tokens + 12'380.0 <= chosen.memory_capacity);
+}
+
+// Guards against bookings that wait at one slow instance while another one is free.
+TEST(PlaceAtServiceTest, PrefersTheFasterSoundInstance) {
+  const std::vector<ServiceOption> options = {
+      {.active = 1.0, .slots = 6.0, .latency_ms = 150.0},
+      {.active = 2.0, .slots = 6.0, .latency_ms = 30.0},
+      {.active = 0.0, .slots = 6.0, .latency_ms = 30.0, .failure_share = 0.4}};
+  EXPECT_EQ(PlaceAtService(options, 2.0), 1U);
+}
+
+TEST(PlaceAtServiceTest, OffersNothingWhenAllQueuesAreFull) {
+  const std::vector<ServiceOption> options = {{.active = 12.0, .slots = 6.0, .latency_ms = 30.0}};
+  EXPECT_FALSE(PlaceAtService(options, 2.0).has_value());
+}
+
+// Replays a flood of the kind with the widest objective: the accepted queue depends on the tightest
+// objective only, so the flood cannot fill the engines beyond what the others can bear.
+TEST(AcceptedQueueTest, IsBoundedByTheTightestObjective) {
+  const EngineSpeed speed;
+  EXPECT_LE(AcceptedQueueMs(speed, 600.0, 20.0, {}) + speed.first_event_ms + 20.0, 600.0);
+}
+
+// Guards against large prompts that are never admitted under load.
+TEST(AcceptedQueueTest, KeepsAPartForLargePrompts) {
+  EXPECT_GT(AcceptedQueueMs({}, 600.0, 5000.0, {}), 100.0);
+}
+
+// Replays workspaces that compete: one that got more is accepted at shorter queues only, without a
+// step that both sides of it could settle at.
+TEST(AcceptedQueueTest, FallsWithTheShareThatWasUsed) {
+  double previous = AcceptedQueueMs({}, 600.0, 20.0, {.share_use = 0.0});
+  for (const double use : {0.9, 1.0, 1.1, 1.2, 1.5, 2.0, 4.0}) {
+    const double limit = AcceptedQueueMs({}, 600.0, 20.0, {.share_use = use});
+    EXPECT_LT(limit, previous) << use;
+    previous = limit;
+  }
+  EXPECT_LT(previous, 0.05 * AcceptedQueueMs({}, 600.0, 20.0, {}));
+}
+
+// Guards against requests that are held until their deadline and then refused.
+TEST(HoldLimitTest, IsAShortPartOfTheObjective) {
+  using std::chrono::milliseconds;
+  EXPECT_LE(HoldLimit(milliseconds(600), milliseconds(15'000), {}), milliseconds(75));
+  EXPECT_LE(HoldLimit(milliseconds(600), milliseconds(15'000), {.returning = true}),
+            milliseconds(800));
+}
+
+// Guards against a Retry-After that callers do not follow, and against one that brings all back at
+// the same moment.
+TEST(RetryAfterTest, StaysWithinAThirdOfTheTimeLeftAndSpreads) {
+  const auto left = std::chrono::milliseconds(3000);
+  EXPECT_LE(RetryAfter(left, 0.999), left / 3);
+  EXPECT_GT(RetryAfter(left, 0.999), RetryAfter(left, 0.0) * 3 / 2);
+}
+
+}  // namespace
+}  // namespace pomelospar::dispatch
--- /dev/null
+++ b/tests/libraries/dispatch/state_test.cc
@@ -0,0 +1,214 @@
+#include <gmock/gmock.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <limits>
+#include <vector>
+
+#include "libraries/core/clock.h"
+#include "libraries/dispatch/peer_view.h"
+#include "libraries/dispatch/policy.h"
+#include "libraries/dispatch/prefix_record.h"
+#include "libraries/dispatch/processor_load.h"
+#include "libraries/dispatch/retry_allowance.h"
+#include "libraries/dispatch/runner_health.h"
+#include "libraries/dispatch/share_window.h"
+
+namespace pomelospar::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Policy TwoRoutes() {
+  Policy policy;
+  Route wide;
+  wide.name = "wide";
+  wide.host = "a.example";
+  wide.prefix = "/x/";
+  wide.streaming = true;
+  wide.objective = milliseconds(600);
+  wide.destinations = {{"engines", 3.0}, {"others", 1.0}};
+  auto narrow = wide;
+  narrow.name = "narrow";
+  narrow.prefix = "/x/y/";
+  narrow.objective = milliseconds(1200);
+  policy.routes = {wide, narrow};
+  policy.upstreams["engines"].name = "engines";
+  IndexRoutes(policy);
+  return policy;
+}
+
+// Guards against a request that is served by a shorter prefix of its host, or by another host.
+TEST(FindRouteTest, TakesTheLongestPrefixOfTheHost) {
+  const auto policy = TwoRoutes();
+  EXPECT_EQ(FindRoute(policy, "a.example", "/x/y/z")->name, "narrow");
+  EXPECT_EQ(FindRoute(policy, "a.example:8080", "/x/yy")->name, "wide");
+  EXPECT_EQ(FindRoute(policy, "b.example", "/x/y/z"), nullptr);
+  EXPECT_EQ(FindRoute(policy, "a.example", "/x"), nullptr);
+}
+
+TEST(IndexRoutesTest, FindsTheTightestObjectiveOfAnUpstream) {
+  const auto policy = TwoRoutes();
+  EXPECT_EQ(policy.upstreams.at("engines").tightest_objective, milliseconds(600));
+}
+
+// Guards against a divided route that sends to a destination without weight or beyond the last.
+TEST(ChooseUpstreamTest, DividesByWeight) {
+  auto policy = TwoRoutes();
+  EXPECT_EQ(ChooseUpstream(policy.routes[0], 0.74), "engines");
+  EXPECT_EQ(ChooseUpstream(policy.routes[0], 0.76), "others");
+  policy.routes[0].destinations[0].weight = 0.0;
+  EXPECT_EQ(ChooseUpstream(policy.routes[0], 0.0), "others");
+}
+
+// Guards against counting a part as kept although an earlier part is not.
+TEST(PrefixRecordTest, CountsLeadingPartsOnly) {
+  PrefixRecord record;
+  const std::vector<PromptPart> prompt = {{1, 100.0}, {2, 50.0}, {3, 10.0}};
+  record.Insert(prompt, 1000.0);
+  EXPECT_DOUBLE_EQ(record.CachedTokens(prompt), 160.0);
+  const std::vector<PromptPart> other = {{4, 100.0}, {2, 50.0}};
+  EXPECT_DOUBLE_EQ(record.CachedTokens(other), 0.0);
+  record.Clear();
+  EXPECT_DOUBLE_EQ(record.CachedTokens(prompt), 0.0);
+}
+
+// Guards against a record that believes in more than the engine can keep.
+TEST(PrefixRecordTest, ForgetsTheLeastRecentlyUsedBeyondTheCapacity) {
+  PrefixRecord record;
+  const std::vector<PromptPart> first = {{1, 600.0}};
+  const std::vector<PromptPart> second = {{2, 600.0}};
+  record.Insert(first, 1000.0);
+  record.Insert(second, 1000.0);
+  EXPECT_DOUBLE_EQ(record.CachedTokens(first), 0.0);
+  EXPECT_DOUBLE_EQ(record.CachedTokens(second), 600.0);
+}
+
+TEST(SharedPrefixKeyTest, LeavesOutThePartOfTheRequestItself) {
+  const std::vector<PromptPart> first = {{1, 10.0}, {2, 10.0}};
+  const std::vector<PromptPart> second = {{1, 10.0}, {3, 10.0}};
+  EXPECT_EQ(SharedPrefixKey(first), SharedPrefixKey(second));
+  EXPECT_EQ(SharedPrefixKey(std::span(first).first(1)), 0U);
+}
+
+// Guards against a level that gives away more than there is, or leaves capacity while demand waits.
+RC_GTEST_PROP(MaxMinLevelTest, UsesTheWholeCapacityAndNoMore, ()) {
+  const auto numbers = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+  const auto capacity = static_cast<double>(*rc::gen::inRange(1, 5000));
+  const std::vector<double> demands(numbers.begin(), numbers.end());
+  const double level = MaxMinLevel(demands, capacity);
+  double total = 0.0;
+  double asked = 0.0;
+  for (const double demand : demands) {
+    total += std::min(demand, level);
+    asked += demand;
+  }
+  RC_ASSERT(total <= capacity + 1e-6);
+  RC_ASSERT(total >= std::min(asked, capacity) - 1e-6);
+}
+
+TEST(SlidingSumTest, ForgetsWhatIsOlderThanTheWindow) {
+  core::ManualClock clock;
+  SlidingSum sum(seconds(4));
+  sum.Add(clock.now(), 10.0);
+  clock.Advance(seconds(2));
+  sum.Add(clock.now(), 5.0);
+  EXPECT_DOUBLE_EQ(sum.Sum(clock.now()), 15.0);
+  clock.Advance(milliseconds(2500));
+  EXPECT_DOUBLE_EQ(sum.Sum(clock.now()), 5.0);
+  clock.Advance(seconds(4));
+  EXPECT_DOUBLE_EQ(sum.Sum(clock.now()), 0.0);
+}
+
+// Replays an outage in which every request fails: in any window the retries stay within the share.
+TEST(RetryAllowanceTest, HoldsTheShareInEveryWindow) {
+  core::ManualClock clock;
+  RetryAllowance allowance({.ratio = 0.2, .slack = 1.0, .window = seconds(10)});
+  std::vector<core::TimePoint> retries;
+  constexpr int kRequestsPerSecond = 20;
+  for (int request = 0; request < 60 * kRequestsPerSecond; ++request) {
+    allowance.OnRequest(clock.now());
+    if (allowance.TryRetry(clock.now())) retries.push_back(clock.now());
+    clock.Advance(milliseconds(1000 / kRequestsPerSecond));
+  }
+  for (const auto start : retries) {
+    const auto in_window = std::count_if(retries.begin(), retries.end(), [&](auto at) {
+      return at >= start && at < start + seconds(10);
+    });
+    EXPECT_LE(in_window, 0.2 * 10 * kRequestsPerSecond + 1.0);
+  }
+  EXPECT_GT(retries.size(), 100U);
+}
+
+// Guards against work of a router that is gone, or of a restarted one, that counts for ever.
+TEST(PeerViewTest, ReplacesOrdersAndExpiresReports) {
+  core::ManualClock clock;
+  PeerView view;
+  PeerReport report = {.sender = "10.0.0.1", .incarnation = 7, .sequence = 2};
+  report.runners[5] = {.unread_tokens = 100.0, .active = 2.0, .memory_tokens = 50.0};
+  report.workspaces[9] = {.asked = 10.0, .served = 4.0};
+  EXPECT_TRUE(view.Apply(report, clock.now()));
+  report.sequence = 1;
+  EXPECT_FALSE(view.Apply(report, clock.now()));
+  EXPECT_DOUBLE_EQ(view.LoadOf(5).active, 2.0);
+  report.incarnation = 8;
+  report.runners[5].active = 1.0;
+  EXPECT_TRUE(view.Apply(report, clock.now()));
+  EXPECT_DOUBLE_EQ(view.LoadOf(5).active, 1.0);
+  EXPECT_DOUBLE_EQ(view.UsageOf(9).served, 4.0);
+  clock.Advance(seconds(3));
+  EXPECT_EQ(view.Expire(clock.now(), seconds(2)), 1U);
+  EXPECT_DOUBLE_EQ(view.LoadOf(5).active, 0.0);
+  EXPECT_DOUBLE_EQ(view.UsageOf(9).served, 0.0);
+}
+
+// Guards against a dead runner that is tried by every request, and one that is never tried again.
+TEST(RunnerHealthTest, PausesAnUnreachableRunner) {
+  core::ManualClock clock;
+  RunnerHealth health;
+  EXPECT_TRUE(health.IsUsable(clock.now()));
+  health.OnUnreachable(clock.now());
+  EXPECT_FALSE(health.IsUsable(clock.now()));
+  clock.Advance(seconds(3));
+  EXPECT_TRUE(health.IsUsable(clock.now()));
+}
+
+// Guards against a judgement that outlives its cause: a runner that is avoided gives no new
+// results.
+TEST(RunnerHealthTest, ForgetsFailuresAndSlowness) {
+  core::ManualClock clock;
+  RunnerHealth health;
+  for (int failure = 0; failure < 10; ++failure) health.OnFailure(clock.now());
+  health.OnFirstEvent(clock.now(), 10.0);
+  EXPECT_GT(health.failure_share(clock.now()), 0.7);
+  EXPECT_GT(health.slowdown(clock.now()), 2.0);
+  clock.Advance(seconds(20));
+  EXPECT_LT(health.failure_share(clock.now()), 0.05);
+  EXPECT_LT(health.slowdown(clock.now()), 1.1);
+}
+
+// Guards against one late timer, as a core with a quota causes, that turns callers away.
+TEST(ProcessorLoadTest, ToleratesASingleLateTimer) {
+  core::ManualClock clock;
+  ProcessorLoad load;
+  load.OnTimer(clock.now(), milliseconds(60));
+  EXPECT_DOUBLE_EQ(load.refused_share(), 0.0);
+  EXPECT_FALSE(load.IsOverloaded(clock.now()));
+}
+
+// Replays a caller that sends several times what the router can serve.
+TEST(ProcessorLoadTest, ShedsAndLeadsCallersAwayWhileTimersStayLate) {
+  core::ManualClock clock;
+  ProcessorLoad load;
+  for (int timer = 0; timer < 30; ++timer) load.OnTimer(clock.now(), milliseconds(250));
+  EXPECT_GT(load.refused_share(), 0.9);
+  EXPECT_TRUE(load.IsOverloaded(clock.now()));
+  for (int timer = 0; timer < 30; ++timer) load.OnTimer(clock.now(), milliseconds(0));
+  EXPECT_DOUBLE_EQ(load.refused_share(), 0.0);
+  clock.Advance(seconds(5));
+  EXPECT_FALSE(load.IsOverloaded(clock.now()));
+}
+
+}  // namespace
+}  // namespace pomelospar::dispatch
--- /dev/null
+++ b/tests/platform/adapter_test.cc
@@ -0,0 +1,279 @@
+#include <gmock/gmock.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "platform/documents.h"
+#include "platform/request_headers.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+
+namespace pomelospar::adapter {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kConfiguration = R"({"version":7,"routes":[
+  {"name":"r-1","host":"a.example","prefix":"/x/","route-kind":"streaming","timeout-ms":15000,
+   "goal-ms":600,"priority":1,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "max-attempts":2,"public":false,"sticky":true,"resumable":true,"gap-aim-ms":250},
+  {"name":"r-2","host":"a.example","prefix":"/b/","route-kind":"non_idempotent","timeout-ms":800,
+   "goal-ms":150,"service":"s2","max-attempts":1,"public":true}],
+  "services":[{"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":953186,"stride":5}},
+   {"name":"s2","max-conns":100}],
+  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
+   "idle-timeout-ms":15000,"tokens-per-s":410000},
+  "tenants":[{"name":"hule","api-keys":["k1","k2"],"priority":1}]})";
+
+constexpr std::string_view kRunner =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":128,)"
+    R"("state":"ready","cold-left-ms":0,"seq-no":4,"born":1700000000000})";
+
+TEST(DecodePolicyTest, ReadsRoutesUpstreamsAndWorkspaces) {
+  const auto policy = DecodePolicy(kConfiguration);
+  ASSERT_TRUE(policy.has_value());
+  const auto& value = *policy.value();
+  EXPECT_EQ(value.version, 7U);
+  const auto* stream = dispatch::FindRoute(value, "a.example", "/x/1");
+  ASSERT_NE(stream, nullptr);
+  EXPECT_TRUE(stream->streaming);
+  EXPECT_TRUE(stream->idempotent);
+  EXPECT_EQ(stream->destinations.size(), 2U);
+  const auto* booking = dispatch::FindRoute(value, "a.example", "/b/1");
+  ASSERT_NE(booking, nullptr);
+  EXPECT_FALSE(booking->idempotent);
+  EXPECT_TRUE(booking->open_to_all);
+  ASSERT_TRUE(value.upstreams.at("s1").engine.has_value());
+  EXPECT_FALSE(value.upstreams.at("s2").engine.has_value());
+  EXPECT_EQ(dispatch::FindWorkspace(value, "k2")->name, "hule");
+  EXPECT_EQ(dispatch::FindWorkspace(value, "k3"), nullptr);
+}
+
+// Guards against a stream that may not be resumed but is repeated.
+TEST(DecodePolicyTest, TakesAStreamThatCannotResumeAsNotRepeatable) {
+  std::string document(kConfiguration);
+  const std::string resumable = R"("resumable":true)";
+  document.replace(document.find(resumable), resumable.size(), R"("resumable":false)");
+  const auto policy = DecodePolicy(document);
+  ASSERT_TRUE(policy.has_value());
+  EXPECT_FALSE(policy.value()->routes.at(0).idempotent);
+}
+
+// Guards against a crash or a half-taken configuration from bytes that were cut or changed.
+RC_GTEST_PROP(DecodePolicyTest, SurvivesChangedBytes, ()) {
+  std::string document(kConfiguration);
+  document.resize(*rc::gen::inRange<std::size_t>(0, document.size() + 1));
+  if (!document.empty()) {
+    const auto position = *rc::gen::inRange<std::size_t>(0, document.size());
+    document[position] = *rc::gen::arbitrary<char>();
+  }
+  const auto policy = DecodePolicy(document);
+  if (policy) RC_ASSERT(policy.value() != nullptr);
+}
+
+TEST(DecodeRunnerTest, ReadsAnEntry) {
+  const auto runner = DecodeRunner("i-1", kRunner);
+  ASSERT_TRUE(runner.has_value());
+  EXPECT_EQ(runner.value().address, "10.0.0.9:8080");
+  EXPECT_EQ(runner.value().started_unix_ms, 1'700'000'000'000);
+  EXPECT_FALSE(runner.value().draining);
+}
+
+// Guards against entries of another writer that would send requests to a wrong address.
+TEST(DecodeRunnerTest, RefusesEntriesThatNameNoRunner) {
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {R"("state":"ready")", R"("state":"odd")"},
+      {R"("slots":128)", R"("slots":"128")"},
+      {R"("slots":128)", R"("slots":0)"},
+      {R"("slots":128)", R"("slots":-4)"},
+      {R"("address":"10.0.0.9:8080")", R"("address":"10.0.0.9")"},
+      {R"("address":"10.0.0.9:8080")", R"("address":7)"},
+      {R"("zone":"z",)", ""},
+      {R"("service":"s1")", R"("service":"")"},
+      {R"("born":1700000000000)", R"("born":1.5)"}};
+  for (const auto& [from, to] : changes) {
+    std::string document(kRunner);
+    document.replace(document.find(from), from.size(), to);
+    EXPECT_FALSE(DecodeRunner("i-1", document).has_value()) << document;
+  }
+}
+
+RC_GTEST_PROP(DecodeRunnerTest, SurvivesAnyBytes, (const std::string& bytes)) {
+  const auto runner = DecodeRunner("i-1", bytes);
+  if (runner) RC_ASSERT(!runner.value().upstream.empty());
+}
+
+RC_GTEST_PROP(DecodeRowsTest, SurvivesAnyBytes, (const std::string& bytes)) {
+  bool has_more = false;
+  std::size_t malformed_rows = 0;
+  const auto rows = DecodeRows(bytes, has_more, malformed_rows);
+  if (rows) RC_ASSERT(rows.value().rows.size() + malformed_rows < bytes.size());
+}
+
+// Guards against one bad row that hides the others.
+TEST(DecodeRowsTest, LeavesOutRowsThatCannotBeRead) {
+  bool has_more = false;
+  std::size_t malformed_rows = 0;
+  const auto rows = DecodeRows(R"({"rows":[{"key":"a","value":"bm9kZS0x","ver":4},
+      {"key":7},{"key":"b","value":"*"},{"key":"c","tombstone":true,"ver":9}],
+      "ver":12,"has-more":true})",
+                               has_more, malformed_rows);
+  ASSERT_TRUE(rows.has_value());
+  ASSERT_EQ(rows.value().rows.size(), 2U);
+  EXPECT_EQ(rows.value().rows[0].value, "node-1");
+  EXPECT_TRUE(rows.value().rows[1].removed);
+  EXPECT_EQ(rows.value().version, 12U);
+  EXPECT_EQ(malformed_rows, 2U);
+  EXPECT_TRUE(has_more);
+}
+
+http::HttpRequest CallerRequest() {
+  http::HttpRequest request;
+  request.method = "POST";
+  request.target = "/x/1?q=2";
+  request.body = "body";
+  request.headers = {{"Host", "a.example"},
+                     {"X-Attempt-Id", "a1"},
+                     {"Authorization", "Token k1"},
+                     {"X-Tenant", "someone-else"},
+                     {"X-Expect-Instance", "i-9"},
+                     {"X-Hold", "h"},
+                     {"Kv-From", "10.0.0.1:1/x"},
+                     {"X-Deadline-Ms", "15000"},
+                     {"X-Token-Usage", "1460,80"},
+                     {"X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410"},
+                     {"Last-Event-Id", "12"},
+                     {"Connection", "keep-alive, X-Private"},
+                     {"X-Private", "1"},
+                     {"X-Other", "kept"}};
+  return request;
+}
+
+std::optional<std::string> Header(const http::HttpRequest& request, std::string_view name) {
+  const auto value = request.FindHeader(name);
+  return value ? std::optional<std::string>(*value) : std::nullopt;
+}
+
+TEST(DecodeRequestTest, ReadsWhatTheCallerSays) {
+  std::string malformed;
+  const auto facts = DecodeRequest(CallerRequest(), malformed);
+  EXPECT_TRUE(malformed.empty()) << malformed;
+  EXPECT_EQ(facts.attempt_id, "a1");
+  EXPECT_EQ(facts.api_key, "k1");
+  EXPECT_EQ(facts.patience, milliseconds(15'000));
+  EXPECT_DOUBLE_EQ(facts.prompt.input_tokens, 1460.0);
+  ASSERT_EQ(facts.prompt.parts.size(), 2U);
+  EXPECT_EQ(facts.prompt.parts[1].id, 0x91bd3f06U);
+}
+
+RC_GTEST_PROP(DecodeRequestTest, SurvivesAnyValues, (const std::string& bytes)) {
+  http::HttpRequest request;
+  for (const auto* name :
+       {"X-Deadline-Ms", "X-Token-Usage", "X-Prompt-Prefix", "X-Length-Hint", "Authorization"}) {
+    request.headers.push_back({name, bytes});
+  }
+  std::string malformed;
+  const auto facts = DecodeRequest(request, malformed);
+  RC_ASSERT(facts.prompt.input_tokens >= 0.0);
+}
+
+// Guards against a key that reaches a runner, and against headers by which a caller would choose
+// another workspace, runner or another request's memory.
+TEST(EncodeForwardTest, SetsTheRoutersHeadersAndDropsTheCallers) {
+  const auto forward = EncodeForward(
+      CallerRequest(), {.runner_id = "i-1", .workspace = "hule", .time_left = milliseconds(1200)});
+  EXPECT_EQ(forward.method, "POST");
+  EXPECT_EQ(forward.target, "/x/1?q=2");
+  EXPECT_EQ(forward.body, "body");
+  EXPECT_EQ(Header(forward, "X-Attempt-Id"), "a1");
+  EXPECT_EQ(Header(forward, "X-Tenant"), "hule");
+  EXPECT_EQ(Header(forward, "X-Expect-Instance"), "i-1");
+  EXPECT_EQ(Header(forward, "X-Deadline-Ms"), "1200");
+  EXPECT_EQ(Header(forward, "Last-Event-Id"), "12");
+  EXPECT_EQ(Header(forward, "X-Other"), "kept");
+  for (const auto* name : {"Authorization", "X-Hold", "Kv-From", "X-Private"}) {
+    EXPECT_EQ(Header(forward, name), std::nullopt) << name;
+  }
+  const auto tenants = std::count_if(forward.headers.begin(), forward.headers.end(),
+                                     [](const auto& header) { return header.name == "X-Tenant"; });
+  EXPECT_EQ(tenants, 1);
+}
+
+TEST(EncodeForwardTest, ResumesAfterTheLastEventThatTheCallerHas) {
+  const auto forward =
+      EncodeForward(CallerRequest(), {.runner_id = "i-1", .resume_after = std::string("31")});
+  EXPECT_EQ(Header(forward, "Last-Event-Id"), "31");
+}
+
+// Guards against a refusal that is passed on as "not run" although nobody said so.
+TEST(DecodeResponseTest, TellsWhatDidNotRun) {
+  http::ResponseHead head;
+  head.status = 503;
+  EXPECT_FALSE(DecodeResponse(head).not_executed);
+  head.headers = {{"X-Not-Executed", "1"}};
+  EXPECT_TRUE(DecodeResponse(head).not_executed);
+  head.headers = {{"X-Instance-Id", "i-2"}};
+  head.status = 421;
+  EXPECT_TRUE(DecodeResponse(head).not_executed);
+}
+
+TEST(DecodeResponseTest, ReadsReceiptAndConnection) {
+  http::ResponseHead head;
+  head.headers = {{"X-Attempt-Id", "a1"},
+                  {"X-Server-Stamp", "s"},
+                  {"Keep-Alive", "timeout=7, max=3"},
+                  {"Connection", "close"}};
+  const auto facts = DecodeResponse(head);
+  EXPECT_EQ(facts.attempt_id, "a1");
+  EXPECT_TRUE(facts.has_receipt);
+  EXPECT_TRUE(facts.closing);
+  EXPECT_EQ(facts.idle_timeout, std::chrono::seconds(7));
+}
+
+constexpr std::string_view kSettings = R"(node-name = "edge-1"
+ip = "10.1.0.33"
+zone = "fes-a"
+internal-ports = [7400,7415]
+unknown-key = 3
+[listen]
+frontend = "10.1.0.33:8783"
+ready = "10.1.0.33:8780"
+[limits]
+memory-mb = 260
+max-fds = 4100
+[bounds]
+revoke-ms = 5000
+revoke-fail-closed = true
+grace-s = 8
+drain-ms = 2000
+config-apply-ms = 2000
+retry-budget-ratio = 0.2
+retry-budget-slack = 54
+budget-window-s = 10
+quota-window-s = 4
+[platform]
+address = "10.200.1.7:8781"
+)";
+
+TEST(DecodeSettingsTest, ReadsTheSettingsAndIgnoresUnknownKeys) {
+  const auto settings = DecodeSettings(kSettings);
+  ASSERT_TRUE(settings.has_value()) << settings.error().message;
+  EXPECT_EQ(settings.value().caller_address, "10.1.0.33:8783");
+  EXPECT_EQ(settings.value().first_internal_port, 7400);
+  EXPECT_EQ(settings.value().key_revocation_limit, milliseconds(5000));
+  EXPECT_DOUBLE_EQ(settings.value().retry_ratio, 0.2);
+}
+
+// Guards against a process that starts with half of its settings.
+TEST(DecodeSettingsTest, NamesTheKeyThatIsMissing) {
+  std::string document(kSettings);
+  const std::string line = "revoke-ms = 5000\n";
+  document.erase(document.find(line), line.size());
+  const auto settings = DecodeSettings(document);
+  ASSERT_FALSE(settings.has_value());
+  EXPECT_THAT(settings.error().message, testing::HasSubstr("revoke-ms"));
+}
+
+}  // namespace
+}  // namespace pomelospar::adapter
--- /dev/null
+++ b/tests/services/edge_parts_test.cc
@@ -0,0 +1,118 @@
+#include <gmock/gmock.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+#include "services/pomelospar_edge/event_splitter.h"
+#include "services/pomelospar_edge/peer_message.h"
+#include "services/pomelospar_edge/wait_queue.h"
+
+namespace pomelospar::edge {
+namespace {
+
+// Guards against a caller that gets a part of an event, after which a stream cannot be resumed.
+TEST(EventSplitterTest, ReturnsWholeEventsOnly) {
+  EventSplitter splitter;
+  EXPECT_EQ(splitter.Append("id: 1\ndata: a\n"), "");
+  EXPECT_TRUE(splitter.has_rest());
+  EXPECT_EQ(splitter.Append("\nid: 2\r\ndata: b\r\n\r\nid: 3\nda"),
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+  EXPECT_EQ(splitter.events(), 2U);
+  EXPECT_EQ(splitter.first_new_id(), "1");
+  EXPECT_EQ(splitter.last_id(), "2");
+  EXPECT_TRUE(splitter.has_rest());
+  splitter.DropRest();
+  EXPECT_FALSE(splitter.has_rest());
+  EXPECT_EQ(splitter.last_id(), "2");
+}
+
+// Guards against bytes that are lost or repeated when events arrive in other pieces.
+RC_GTEST_PROP(EventSplitterTest, KeepsAllBytesWhereverTheyAreCut, ()) {
+  const std::string stream =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+  EventSplitter splitter;
+  std::string output;
+  std::size_t position = 0;
+  while (position < stream.size()) {
+    const auto size = *rc::gen::inRange<std::size_t>(1, stream.size() - position + 1);
+    output += splitter.Append(std::string_view(stream).substr(position, size));
+    position += size;
+  }
+  RC_ASSERT(output == stream);
+  RC_ASSERT(splitter.events() == 4U);
+  RC_ASSERT(splitter.last_id() == std::optional<std::string>("3"));
+}
+
+dispatch::PeerReport Report() {
+  dispatch::PeerReport report = {.sender = "10.0.0.1", .incarnation = 7, .sequence = 3};
+  report.runners[11] = {.unread_tokens = 100.0, .active = 2.0, .memory_tokens = 5000.0};
+  report.workspaces[5] = {.asked = 10.0, .served = 4.0};
+  report.reads.push_back({.runner = 11, .parts = {{0x5c1e07a2, 800.0}}});
+  return report;
+}
+
+TEST(PeerMessageTest, OpensWhatWasSealedWithTheSameKey) {
+  const auto opened = OpenReport(SealReport(Report(), "key"), "key");
+  ASSERT_TRUE(opened.has_value());
+  EXPECT_EQ(opened.value().sender, "10.0.0.1");
+  EXPECT_DOUBLE_EQ(opened.value().runners.at(11).memory_tokens, 5000.0);
+  EXPECT_DOUBLE_EQ(opened.value().workspaces.at(5).served, 4.0);
+  ASSERT_EQ(opened.value().reads.size(), 1U);
+  EXPECT_EQ(opened.value().reads[0].parts.at(0).id, 0x5c1e07a2U);
+}
+
+// Guards against reports of another fleet, and against changed or random datagrams.
+TEST(PeerMessageTest, RefusesAnotherKey) {
+  EXPECT_FALSE(OpenReport(SealReport(Report(), "key"), "other").has_value());
+}
+
+RC_GTEST_PROP(PeerMessageTest, RefusesChangedBytes, ()) {
+  auto datagram = SealReport(Report(), "key");
+  const auto position = *rc::gen::inRange<std::size_t>(0, datagram.size());
+  const auto bit = *rc::gen::inRange(0, 8);
+  datagram[position] = static_cast<char>(datagram[position] ^ (1 << bit));
+  RC_ASSERT(!OpenReport(datagram, "key").has_value());
+}
+
+RC_GTEST_PROP(PeerMessageTest, SurvivesSealedBytesOfAnyContent, (const std::string& bytes)) {
+  const auto opened = OpenReport(bytes, "key");
+  RC_ASSERT(!opened.has_value());
+}
+
+// Guards against callers that come back and pass those that are still in time.
+TEST(WaitQueueTest, TriesInOrderOfRankAndArrival) {
+  WaitQueue queue;
+  std::string order;
+  const auto waiter = [&](int rank, char name) {
+    return Waiter{rank, [&order, name] {
+                    order += name;
+                    return true;
+                  }};
+  };
+  queue.Add(waiter(1, 'c'));
+  queue.Add(waiter(0, 'a'));
+  const auto removed = queue.Add(waiter(0, 'x'));
+  queue.Add(waiter(0, 'b'));
+  queue.Remove(removed);
+  queue.TryAll();
+  EXPECT_EQ(order, "abc");
+  queue.TryAll();
+  EXPECT_EQ(order, "abc");
+}
+
+// Guards against a long queue without room that takes the processor at every event.
+TEST(WaitQueueTest, StopsAfterSomeFailuresInARow) {
+  WaitQueue queue;
+  int tries = 0;
+  for (int waiter = 0; waiter < 1000; ++waiter) {
+    queue.Add({0, [&tries] {
+                 ++tries;
+                 return false;
+               }});
+  }
+  queue.TryAll();
+  EXPECT_LE(tries, 10);
+}
+
+}  // namespace
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/tests/system/table_platform.py
@@ -0,0 +1,289 @@
+"""A stand-in for the users' platform: its table store and runners that speak its protocol.
+
+Both run on one event loop in a thread of the test and can be told to fail in the ways that the tests
+need. They hold only what these tests use.
+"""
+
+import asyncio
+import base64
+import json
+import threading
+import time
+import urllib.parse
+
+
+async def read_message(reader):
+    """One HTTP message: (first line, headers by lower-case name, body), or None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode().split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return lines[0], headers, body
+
+
+def response(status, body=b"", headers=()):
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return head.encode() + b"\r\n" + body
+
+
+class Store:
+    """Rows by table and key. `mode` is "ok", "reset", "silent" or a status to refuse with."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 1
+        self.mode = "ok"
+        self.history_from = 0
+        self.calls = 0
+        self.changed = None
+
+    def put(self, table, key, value):
+        self.version += 1
+        self.rows[(table, key)] = (value, self.version)
+        self.changed.set()
+        self.changed.clear()
+
+    def remove(self, table, key):
+        self.put(table, key, None)
+
+    def row(self, table, key):
+        value, version = self.rows[(table, key)]
+        entry = {"table": table, "part": "", "key": key, "ver": version}
+        if value is None:
+            return entry | {"tombstone": True}
+        return entry | {"value": base64.b64encode(value).decode()}
+
+    def answer(self, table, after=None):
+        rows = [
+            self.row(t, k)
+            for (t, k), (value, version) in sorted(self.rows.items())
+            if t == table and (version > after if after is not None else value is not None)
+        ]
+        return json.dumps(
+            {"rows": rows, "has-more": False, "ver": self.version, "now-ms": int(time.monotonic() * 1e3)}
+        ).encode()
+
+    async def serve(self, reader, writer):
+        while message := await read_message(reader):
+            self.calls += 1
+            if self.mode == "reset":
+                break
+            if self.mode == "silent":
+                await asyncio.sleep(3600)
+            if self.mode != "ok":
+                writer.write(response(self.mode))
+                continue
+            writer.write(await self.handle(message))
+        writer.close()
+
+    async def handle(self, message):
+        line, _, body = message
+        url = urllib.parse.urlparse(line.split()[1])
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        if url.path.endswith("rows-tx"):
+            return self.transact(json.loads(body))
+        if url.path.endswith("rows-get"):
+            return response(200, self.answer(query["table"]))
+        after = int(query["after-rev"])
+        if after < self.history_from:
+            return response(410)
+        end = time.monotonic() + int(query["wait-ms"]) / 1e3
+        while time.monotonic() < end and self.mode == "ok":
+            if any(t == query["table"] and v > after for (t, _), (_, v) in self.rows.items()):
+                break
+            try:
+                await asyncio.wait_for(self.changed.wait(), end - time.monotonic())
+            except asyncio.TimeoutError:
+                pass
+        if after < self.history_from:
+            return response(410)
+        return response(200, self.answer(query["table"], after))
+
+    def transact(self, call):
+        for condition in call["expected-rev"]:
+            known = self.rows.get((condition["table"], condition["key"]), (None, 0))
+            if condition["ver"] != (known[1] if known[0] is not None else 0):
+                return response(412, json.dumps({"rows": []}).encode())
+        for row in call["set-keys"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in call["remove"]:
+            self.remove(row["table"], row["key"])
+        return response(200, json.dumps({"ver": self.version, "now-ms": 1}).encode())
+
+
+class Runner:
+    """A runner that answers a stream of `events` events, or a short body for other paths.
+
+    `fault` is one of None, "break" (resets after `break_after` events), "full", "other_instance",
+    "error", "no_receipt", "unframed", "extra" (a second response after each), "refuse_silently" (a 503
+    that does not say that nothing ran) and "hang".
+    """
+
+    def __init__(self, identifier, service):
+        self.identifier = identifier
+        self.service = service
+        self.fault = None
+        self.break_after = 3
+        self.events = 8
+        self.gap = 0.005
+        self.requests = []
+        self.cancelled = []
+        self.port = 0
+
+    def entry(self, state="ready"):
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": f"127.0.0.1:{self.port}",
+                "zone": "a",
+                "version": "v1",
+                "slots": 8,
+                "state": state,
+                "cold-left-ms": 0,
+                "seq-no": 1,
+                "born": 1700000000000,
+            }
+        ).encode()
+
+    async def serve(self, reader, writer):
+        while message := await read_message(reader):
+            line, headers, body = message
+            self.requests.append({"line": line, "headers": headers, "body": body, "at": time.monotonic()})
+            try:
+                keep = await self.answer(line, headers, reader, writer)
+            except ConnectionError:
+                self.cancelled.append((headers["x-attempt-id"], time.monotonic()))
+                break
+            if not keep:
+                break
+        writer.close()
+
+    async def answer(self, line, headers, reader, writer):
+        identifier = headers["x-attempt-id"]
+        known = [("X-Attempt-Id", identifier), ("X-Server-Stamp", f"stamp-{self.identifier}")]
+        if self.fault == "full":
+            writer.write(response(503, b"", [("X-Attempt-Id", identifier), ("X-Not-Executed", "1")]))
+            return True
+        if self.fault == "other_instance" or headers.get("x-expect-instance") != self.identifier:
+            writer.write(response(421, b"", [("X-Instance-Id", "i-unknown")]))
+            return True
+        if self.fault == "error":
+            writer.write(response(500, b"broken", known))
+            return True
+        if self.fault == "refuse_silently":
+            writer.write(response(503, b"", known))
+            return True
+        if self.fault == "hang":
+            if await reader.read(1) == b"":
+                self.cancelled.append((identifier, time.monotonic()))
+            return False
+        if self.fault == "no_receipt":
+            writer.write(response(200, b"spoiled", known[:1]))
+            return True
+        if line.split()[1].startswith("/s/"):
+            return await self.stream(headers, known, writer)
+        body = f"whole answer to {identifier}".encode()
+        if self.fault == "unframed":
+            head = "HTTP/1.1 200 OK\r\n" + "".join(f"{n}: {v}\r\n" for n, v in known) + "\r\n"
+            writer.write(head.encode() + body)
+            return False
+        writer.write(response(200, body, known))
+        if self.fault == "extra":
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(response(200, b"late answer to " + identifier.encode(), known))
+        return True
+
+    async def stream(self, headers, known, writer):
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        writer.write((head + "".join(f"{n}: {v}\r\n" for n, v in known) + "\r\n").encode())
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            if self.fault == "break" and number - first == self.break_after:
+                # Half of an event, then a reset.
+                writer.write(b"4\r\nid: \r\n")
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            event = f"id: {number}\ndata: part-{number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.gap)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class Platform:
+    """The store and runners on an event loop of their own."""
+
+    def __init__(self):
+        self.store = Store()
+        self.loop = asyncio.new_event_loop()
+        self.store_port = 0
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.call(self._start())
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    async def _start(self):
+        self.store.changed = asyncio.Event()
+        server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
+        self.store_port = server.sockets[0].getsockname()[1]
+
+    def put(self, table, key, value):
+        async def put():
+            self.store.put(table, key, value)
+
+        self.call(put())
+
+    def remove(self, table, key):
+        async def remove():
+            self.store.remove(table, key)
+
+        self.call(remove())
+
+    def add_runner(self, identifier, service):
+        runner = Runner(identifier, service)
+
+        async def start():
+            server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
+            runner.port = server.sockets[0].getsockname()[1]
+
+        self.call(start())
+        self.put("servers", identifier, runner.entry())
+        return runner
+
+    def configure(self, version, keys, extra_routes=()):
+        engine = {"slots": 8, "kv-capacity": 100000, "stride": 5}
+        common = {"host": "a.example", "goal-ms": 600, "priority": 1, "public": False}
+        routes = [
+            common
+            | {"name": "stream", "prefix": "/s/", "route-kind": "streaming", "timeout-ms": 5000}
+            | {"service": "engines", "max-attempts": 2, "resumable": True, "gap-aim-ms": 250},
+            common
+            | {"name": "booking", "prefix": "/b/", "route-kind": "non_idempotent", "timeout-ms": 1000}
+            | {"service": "desk", "max-attempts": 2},
+            common
+            | {"name": "look", "prefix": "/l/", "route-kind": "idempotent", "timeout-ms": 1000}
+            | {"service": "desk", "max-attempts": 2},
+        ]
+        document = {
+            "version": version,
+            "routes": routes + [common | route for route in extra_routes],
+            "services": [
+                {"name": "engines", "max-conns": 50, "engine": engine},
+                {"name": "desk", "max-conns": 50},
+            ],
+            "limits": {"tokens-per-s": 100000, "idle-timeout-ms": 5000, "header-timeout-ms": 3000},
+            "tenants": [{"name": "hule", "api-keys": keys}],
+        }
+        self.put("op", "config", json.dumps(document).encode())
--- /dev/null
+++ b/tests/system/test_platform_path.py
@@ -0,0 +1,351 @@
+"""The router on the users' platform: the whole path against a stand-in of the platform."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from fleet import BINARIES, free_port  # noqa: E402
+from table_platform import Platform  # noqa: E402
+
+KEY = "key-1"
+# Bounds of the users' rules, in seconds.
+CONFIGURATION_LIMIT = 2.0
+REVOCATION_LIMIT = 5.0
+DRAIN_LIMIT = 2.0
+CANCEL_LIMIT = 0.5
+
+SETTINGS = """
+node-name = "edge-a-1"
+ip = "127.0.0.1"
+zone = "a"
+internal-ports = [{internal}, {internal}]
+[listen]
+frontend = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+[limits]
+memory-mb = 260
+max-fds = 4100
+[bounds]
+revoke-ms = 5000
+revoke-fail-closed = true
+grace-s = 8
+drain-ms = 2000
+config-apply-ms = 2000
+retry-budget-ratio = 0.2
+retry-budget-slack = 54
+budget-window-s = 10
+quota-window-s = 4
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+class Router:
+    """One process of the router, with its log."""
+
+    def __init__(self, platform):
+        self.callers, self.ready = free_port(), free_port()
+        self.directory = tempfile.TemporaryDirectory()
+        path = os.path.join(self.directory.name, "settings.toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(
+                SETTINGS.format(
+                    callers=self.callers,
+                    ready=self.ready,
+                    internal=free_port(),
+                    store=platform.store_port,
+                )
+            )
+        self.log_path = os.path.join(self.directory.name, "log")
+        self.log = open(self.log_path, "wb")
+        self.process = subprocess.Popen(
+            [BINARIES / "pomelospar_edge", f"--settings={path}"], stdout=self.log, stderr=self.log
+        )
+
+    def is_ready(self):
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=2)
+            connection.request("GET", "/pomelospar/readyz")
+            status = connection.getresponse().status
+            connection.close()
+            return status == 200
+        except OSError:
+            return False
+
+    def lines(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return [json.loads(line) for line in file if line.endswith("}\n")]
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
+        self.directory.cleanup()
+
+
+def until(condition, seconds):
+    """Waits for a condition; returns whether it became true in time."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return condition()
+
+
+class PlatformPathTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = Platform()
+        self.platform.configure(3, [KEY])
+        self.engines = [self.platform.add_runner(f"i-e{n}", "engines") for n in (1, 2)]
+        self.desk = [self.platform.add_runner(f"i-d{n}", "desk") for n in (1, 2)]
+        self.router = Router(self.platform)
+        self.addCleanup(self.router.end)
+        self.assertTrue(until(self.router.is_ready, 5))
+        self.count = 0
+
+    def ask(self, path, method="POST", key=KEY, headers=(), timeout=8):
+        """Status, headers and body; the body is None if the answer was not whole."""
+        self.count += 1
+        sent = {
+            "Host": "a.example",
+            "X-Attempt-Id": f"attempt-{self.count}",
+            "X-Deadline-Ms": "5000",
+            "X-Token-Usage": "1000,40",
+            "X-Prompt-Prefix": "a1:500,b2:500",
+        } | dict(headers)
+        if key:
+            sent["Authorization"] = f"Token {key}"
+        connection = http.client.HTTPConnection("127.0.0.1", self.router.callers, timeout=timeout)
+        connection.request(method, path, body=b"asked" if method == "POST" else None, headers=sent)
+        answer = connection.getresponse()
+        try:
+            return answer.status, answer.headers, answer.read()
+        except (http.client.IncompleteRead, ConnectionError):
+            return answer.status, answer.headers, None
+        finally:
+            connection.close()
+
+    def attempt(self):
+        return f"attempt-{self.count}"
+
+    def runs(self, runners):
+        """The sends of the last request, in order of time."""
+        runs = [r for runner in runners for r in runner.requests]
+        runs = [r for r in runs if r["headers"]["x-attempt-id"] == self.attempt()]
+        return sorted(runs, key=lambda run: run["at"])
+
+    def events(self, count=8):
+        return b"".join(f"id: {n}\ndata: part-{n}\n\n".encode() for n in range(1, count + 1))
+
+    def test_serves_all_kinds_with_the_receipt_of_the_runner(self):
+        status, headers, body = self.ask("/s/1")
+        self.assertEqual((status, body), (200, self.events()))
+        self.assertTrue(headers["X-Server-Stamp"].startswith("stamp-i-e"))
+        run = self.runs(self.engines)[0]["headers"]
+        self.assertEqual(run["x-tenant"], "hule")
+        self.assertNotIn("authorization", run)
+        self.assertIn(run["x-expect-instance"], ("i-e1", "i-e2"))
+        self.assertLessEqual(int(run["x-deadline-ms"]), 5000)
+        status, _, body = self.ask("/b/1")
+        self.assertEqual((status, body), (200, f"whole answer to {self.attempt()}".encode()))
+        status, _, body = self.ask("/l/1", method="GET")
+        self.assertEqual((status, body), (200, f"whole answer to {self.attempt()}".encode()))
+
+    def test_refuses_what_no_configuration_allows(self):
+        self.assertEqual(self.ask("/none/1")[0], 404)
+        self.assertEqual(self.ask("/s/1", key="key-of-nobody")[0], 401)
+        self.assertEqual(self.ask("/s/1", key=None)[0], 401)
+
+    # Guards against a configuration that comes into force late, and one that is taken back by an
+    # older version.
+    def test_follows_changes_of_the_configuration(self):
+        route = {"name": "new", "prefix": "/n/", "route-kind": "idempotent", "timeout-ms": 1000}
+        self.platform.configure(5, [KEY, "key-2"], [route | {"service": "desk", "max-attempts": 2}])
+        self.assertTrue(until(lambda: self.ask("/n/1", key="key-2")[0] == 200, CONFIGURATION_LIMIT))
+        self.platform.configure(4, [KEY])
+        time.sleep(0.5)
+        self.assertEqual(self.ask("/n/1", key="key-2")[0], 200)
+
+    # Guards against a changed configuration that is missed while the store drops its history.
+    def test_reads_everything_again_after_lost_history(self):
+        async def lose():
+            self.platform.store.history_from = 10**9
+
+        self.platform.call(lose())
+        self.platform.configure(6, ["key-3"])
+        self.assertTrue(until(lambda: self.ask("/l/1", method="GET", key="key-3")[0] == 200, CONFIGURATION_LIMIT))
+
+    # Guards against a key that was taken away and works on an instance that cannot learn of it.
+    def test_keys_fail_closed_without_the_store(self):
+        for mode in ("silent", "reset", 503):
+            with self.subTest(mode=mode):
+                self.platform.store.mode = mode
+                self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
+                self.assertTrue(
+                    until(lambda: self.ask("/l/1", method="GET")[0] == 503, REVOCATION_LIMIT + 0.2)
+                )
+                ran = len(self.desk[0].requests) + len(self.desk[1].requests)
+                self.assertEqual(self.ask("/l/1", method="GET")[0], 503)
+                self.assertEqual(ran, len(self.desk[0].requests) + len(self.desk[1].requests))
+                self.assertFalse(self.router.is_ready())
+                self.platform.store.mode = "ok"
+                self.assertTrue(until(self.router.is_ready, 5))
+
+    # Guards against new work for a runner that leaves.
+    def test_leaves_a_draining_runner_alone(self):
+        self.platform.put("servers", "i-d1", self.desk[0].entry("draining"))
+        time.sleep(DRAIN_LIMIT)
+        before = len(self.desk[0].requests)
+        for _ in range(10):
+            self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
+        self.assertEqual(len(self.desk[0].requests), before)
+
+    # Guards against an outage of the store after which all runners seem gone.
+    def test_keeps_runners_whose_entries_lapsed_with_the_store(self):
+        self.platform.store.mode = "reset"
+        time.sleep(0.5)
+        for runner in self.desk:
+            self.platform.remove("servers", runner.identifier)
+        self.platform.store.mode = "ok"
+        time.sleep(0.7)
+        self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
+        for runner in self.desk:
+            self.platform.put("servers", runner.identifier, runner.entry())
+        time.sleep(2.5)
+        self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
+
+    # Guards against one bad entry that harms the others.
+    def test_ignores_malformed_entries(self):
+        for number, bytes_ in enumerate((b"\xff\x00", b"{}", b'{"service":7}', b"[]")):
+            self.platform.put("servers", f"i-bad{number}", bytes_)
+        self.platform.put("servers", "i-d1", b'{"service":"desk"}')
+        time.sleep(1)
+        for _ in range(5):
+            self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
+
+    # Guards against events that are missing, repeated or joined from two runs.
+    def test_resumes_a_broken_stream_after_the_last_whole_event(self):
+        for runner in self.engines:
+            runner.fault = "break"
+            runner.break_after = 4
+        status, headers, body = self.ask("/s/1")
+        runs = self.runs(self.engines)
+        self.assertEqual(len(runs), 2)
+        self.assertEqual(runs[1]["headers"]["last-event-id"], "4")
+        self.assertEqual((status, body), (200, self.events()))
+
+    # Guards against a broken stream that looks complete.
+    def test_a_stream_that_cannot_go_on_is_visibly_cut(self):
+        for runner in self.engines:
+            runner.fault = "break"
+            runner.break_after = 2
+        status, _, body = self.ask("/s/1")
+        self.assertEqual(status, 200)
+        self.assertIsNone(body)
+
+    # Guards against a booking that runs twice, and against "not run" for one that may have run.
+    def test_a_booking_of_unknown_outcome_is_not_repeated(self):
+        for fault in ("error", "refuse_silently", "no_receipt"):
+            with self.subTest(fault=fault):
+                for runner in self.desk:
+                    runner.fault = fault
+                status, _, _ = self.ask("/b/1")
+                self.assertEqual(len(self.runs(self.desk)), 1)
+                self.assertIn(status, (500, 502, 504))
+
+    # Guards against a refusal without reason: a runner that says "not run" leaves room for another.
+    def test_a_booking_that_did_not_run_goes_elsewhere(self):
+        self.desk[0].fault = "full"
+        for _ in range(4):
+            self.assertEqual(self.ask("/b/1")[0], 200)
+        self.desk[1].fault = "other_instance"
+        status, headers, _ = self.ask("/b/1")
+        self.assertEqual(status, 503)
+        self.assertLess(float(headers["Retry-After"]), 5 / 3)
+
+    def test_a_lookup_is_tried_again_after_an_error(self):
+        self.desk[0].fault = "error"
+        for _ in range(3):
+            self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
+
+    # Guards against an answer that belongs to an earlier request on a kept connection.
+    def test_passes_over_a_late_second_answer(self):
+        for runner in self.desk:
+            runner.fault = "extra"
+        for _ in range(6):
+            status, _, body = self.ask("/l/1", method="GET")
+            self.assertEqual((status, body), (200, f"whole answer to {self.attempt()}".encode()))
+
+    def test_takes_an_answer_without_length_that_ends_in_order(self):
+        for runner in self.desk:
+            runner.fault = "unframed"
+        status, _, body = self.ask("/l/1", method="GET")
+        self.assertEqual((status, body), (200, f"whole answer to {self.attempt()}".encode()))
+
+    # Guards against runners that work for callers who have left.
+    def test_cancels_at_the_runner_when_the_caller_leaves(self):
+        for runner in self.desk:
+            runner.fault = "hang"
+        caller = socket.create_connection(("127.0.0.1", self.router.callers))
+        caller.sendall(
+            b"GET /l/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: gone-1\r\n"
+            b"Authorization: Token key-1\r\nX-Deadline-Ms: 5000\r\n\r\n"
+        )
+        self.assertTrue(until(lambda: any(r.requests for r in self.desk), 2))
+        caller.close()
+        left = time.monotonic()
+        self.assertTrue(until(lambda: any(r.cancelled for r in self.desk), CANCEL_LIMIT))
+        self.assertLess(time.monotonic() - left, CANCEL_LIMIT)
+
+    # Guards against a request that is kept waiting beyond its route's timeout.
+    def test_answers_at_the_timeout_of_the_route(self):
+        for runner in self.desk:
+            runner.fault = "hang"
+        start = time.monotonic()
+        status, _, _ = self.ask("/l/1", method="GET")
+        self.assertEqual(status, 504)
+        self.assertLess(time.monotonic() - start, 1.0 + 0.5)
+
+    # Guards against requests that a planned stop cuts.
+    def test_a_stop_finishes_what_was_accepted(self):
+        for runner in self.engines:
+            runner.gap = 0.25
+        caller = http.client.HTTPConnection("127.0.0.1", self.router.callers, timeout=8)
+        headers = {"Host": "a.example", "X-Attempt-Id": "stop-1", "X-Deadline-Ms": "5000"}
+        caller.request("POST", "/s/1", body=b"x", headers=headers | {"Authorization": f"Token {KEY}"})
+        answer = caller.getresponse()
+        self.router.process.send_signal(signal.SIGTERM)
+        self.assertTrue(until(lambda: not self.router.is_ready(), 0.5))
+        # Callers that still come are served or told to go elsewhere.
+        self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
+        self.assertEqual(self.ask("/s/2")[0], 503)
+        self.assertEqual(answer.read(), self.events())
+        self.router.process.wait(8)
+        messages = [line["message"] for line in self.router.lines()]
+        self.assertIn("stop", messages)
+        self.assertIn("stopped", messages)
+
+    # Guards against a failure that the on-call engineer cannot explain.
+    def test_each_request_leaves_a_line_with_its_cause(self):
+        for runner in self.desk:
+            runner.fault = "error"
+        self.ask("/l/1", method="GET")
+        time.sleep(0.5)
+        lines = [line for line in self.router.lines() if line.get("request") == self.attempt()]
+        self.assertEqual([line["message"] for line in lines], ["retry", "request"])
+        self.assertEqual(lines[1]["outcome"], "error_of_runner")
+        self.assertEqual(lines[1]["policy"], 3)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
