--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -116,8 +116,9 @@
   std::string FramingFault() {
     const auto status = this->parser->get().result_int();
     if (status == 101) return "it switches protocols, which was not asked for";
-    if (this->parser->need_eof() && !this->accept_close_delimited)
+    if (this->parser->need_eof() && !this->accept_close_delimited) {
       return "its body has neither a length nor chunks";
+    }
     if (this->parser->get().version() != 11) return "it is not HTTP/1.1";
     return {};
   }
--- a/services/pomelospar_edge/blackboard.cc
+++ b/services/pomelospar_edge/blackboard.cc
@@ -62,14 +62,9 @@
   }
   const auto now = board.clock.now();
   std::unordered_map<std::uint64_t, double> demand;
-  double served = 0.0;
-  for (const auto& [key, usage] : board.peers.usage()) {
-    demand[key] += usage.asked;
-    served += usage.served;
-  }
+  for (const auto& [key, usage] : board.peers.usage()) demand[key] += usage.asked;
   for (const auto& [name, window] : board.workspaces) {
     demand[core::HashName(name)] += window.asked.Sum(now);
-    served += window.served.Sum(now);
   }
   std::vector<double> demands;
   demands.reserve(demand.size());
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -141,9 +141,11 @@
   while (this->socket.is_open()) {
     this->report_due = false;
     this->timer.expires_after(this->IsLarge() ? kLargeFleetPeriod : kSmallFleetPeriod);
-    auto [moved] = co_await this->timer.async_wait(kTuple);
+    const auto [moved] = co_await this->timer.async_wait(kTuple);
     // Moving the timer to an earlier time ends the wait; the new time is waited for.
-    if (moved && this->report_due) co_await this->timer.async_wait(kTuple);
+    if (moved && this->report_due) {
+      co_await this->timer.async_wait(kTuple);
+    }
     if (!this->socket.is_open()) break;
     this->last_report = this->board.clock.now();
     this->board.unreported_tokens = 0.0;
