--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -35,7 +35,7 @@
   void Stop();
   /// The address for this router's row.
   std::string address() const;
-  /// Null domain and address remove the router with this name.
+  /// A malformed address is left out with a log line.
   void SetPeer(const std::string& name, std::string_view address, std::string_view domain);
   void RemovePeer(const std::string& name);
   /// The key that authenticates messages; the previous one is accepted for a while.
--- /dev/null
+++ b/services/pomelospar_edge/request_placement.cc
@@ -0,0 +1,168 @@
+// Where a request goes: the parts of RequestSession that choose a runner.
+
+#include <algorithm>
+
+#include "libraries/core/identifiers.h"
+#include "libraries/core/milliseconds.h"
+#include "services/pomelospar_edge/request_session.h"
+
+namespace pomelospar::edge {
+namespace {
+
+using core::ToMilliseconds;
+
+// A runner that keeps this share of the shared parts saves most of the reading.
+constexpr double kKeptShare = 0.9;
+// Runners of other failure domains that are looked at for one request.
+constexpr std::size_t kSampledRunners = 12;
+// Share of the slots and the queue that is used of a runner whose load was reported up to a second
+// ago; the other routers there use the rest.
+constexpr double kOldViewShare = 0.7;
+
+}  // namespace
+
+std::vector<Runner*> RequestSession::Candidates(Reach reach) const {
+  std::vector<Runner*> candidates;
+  const auto found = this->board.runners_by_upstream.find(this->upstream->name);
+  if (found == this->board.runners_by_upstream.end()) return candidates;
+  const auto now = this->board.clock.now();
+  candidates.reserve(found->second.size());
+  for (const auto& runner : found->second) {
+    const bool own = runner->record.domain == this->board.settings.domain;
+    if ((reach == Reach::kOwnDomain && !own) || (reach == Reach::kOtherDomains && own)) continue;
+    if (!TakesNewWork(*runner) || !runner->health.IsUsable(now)) continue;
+    if (std::find(this->tried.begin(), this->tried.end(), runner->record.id) != this->tried.end()) {
+      continue;
+    }
+    candidates.push_back(runner.get());
+  }
+  return candidates;
+}
+
+// A few of the candidates, other ones for each request, so that routers with the same old view do
+// not all choose the same runner.
+std::vector<Runner*> RequestSession::Sample(std::vector<Runner*> candidates) const {
+  if (candidates.size() <= kSampledRunners) return candidates;
+  const auto seed = core::HashName(this->facts.attempt_id);
+  std::nth_element(candidates.begin(), candidates.begin() + kSampledRunners, candidates.end(),
+                   [&](const Runner* left, const Runner* right) {
+                     return core::CombineHashes(seed, left->key) <
+                            core::CombineHashes(seed, right->key);
+                   });
+  candidates.resize(kSampledRunners);
+  return candidates;
+}
+
+bool RequestSession::TryPlace() {
+  if (!this->upstream->engine) return this->PlaceService();
+  const auto& limits = *this->upstream->engine;
+  if (!this->board.own_domain_first) {
+    return this->PlaceEngine(limits, this->Candidates(Reach::kAll), 1.0);
+  }
+  if (this->PlaceEngine(limits, this->Candidates(Reach::kOwnDomain), 1.0)) return true;
+  return this->PlaceEngine(limits, this->Sample(this->Candidates(Reach::kOtherDomains)),
+                           kOldViewShare);
+}
+
+std::vector<dispatch::EngineOption> RequestSession::DescribeEngines(
+    const dispatch::EngineLimits& limits, const std::vector<Runner*>& candidates,
+    double share) const {
+  const auto now = this->board.clock.now();
+  std::vector<dispatch::EngineOption> options;
+  options.reserve(candidates.size());
+  for (const auto* runner : candidates) {
+    options.push_back({.load = FleetLoad(this->board, *runner),
+                       .slowdown = runner->health.slowdown(now),
+                       .failure_share = runner->health.failure_share(now),
+                       .cached_tokens = runner->prefixes.CachedTokens(this->facts.prompt.parts),
+                       .memory_capacity = limits.memory_tokens,
+                       .slots = static_cast<double>(runner->record.slots) * share,
+                       .other_domain = runner->record.domain != this->board.settings.domain});
+  }
+  return options;
+}
+
+// Prompts with the same shared parts that arrive at several routers at once meet at the runner that
+// all routers agree on.
+void RequestSession::PreferCommonEngine(const std::vector<Runner*>& candidates,
+                                        std::vector<dispatch::EngineOption>& options) const {
+  const auto& prompt = this->facts.prompt;
+  const auto key = dispatch::SharedPrefixKey(prompt.parts);
+  if (key == 0) return;
+  const double shared = prompt.input_tokens - prompt.parts.back().tokens;
+  const bool kept_somewhere =
+      std::any_of(options.begin(), options.end(), [&](const dispatch::EngineOption& option) {
+        return option.cached_tokens >= shared * kKeptShare;
+      });
+  if (kept_somewhere) return;
+  const auto common = std::max_element(
+      candidates.begin(), candidates.end(), [&](const Runner* left, const Runner* right) {
+        return core::CombineHashes(key, left->key) < core::CombineHashes(key, right->key);
+      });
+  options[static_cast<std::size_t>(common - candidates.begin())].expected_tokens = shared;
+}
+
+// `share` of the slots and of the accepted queue are used, for runners whose load is known late.
+bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits,
+                                 const std::vector<Runner*>& candidates, double share) {
+  if (candidates.empty()) return false;
+  const auto now = this->board.clock.now();
+  const auto& prompt = this->facts.prompt;
+  auto options = this->DescribeEngines(limits, candidates, share);
+  this->PreferCommonEngine(candidates, options);
+  this->standing.share_use = ShareUse(this->board, this->workspace, this->share_tokens);
+  const auto& speed = this->board.engine_speed;
+  const double reading = dispatch::ReadingMs(speed, prompt.input_tokens, prompt.input_tokens, 0.0);
+  const dispatch::EngineRequest request = {
+      .prompt_tokens = prompt.input_tokens,
+      .output_tokens = dispatch::ExpectedOutputTokens(prompt),
+      .queue_limit_ms =
+          dispatch::AcceptedQueueMs(speed, ToMilliseconds(this->upstream->tightest_objective),
+                                    reading, this->standing) *
+          share};
+  const auto placement = dispatch::PlaceAtEngine(speed, options, request);
+  if (!placement) return false;
+  auto* runner = candidates[placement->option];
+  this->predicted_ms = placement->first_event_ms;
+  this->queue_ms = placement->queue_ms;
+  this->cached_tokens = prompt.input_tokens - placement->unread_tokens;
+  NoteRead(*runner, limits, options[placement->option].load, prompt.parts);
+  if (prompt.parts.size() > 1) {
+    this->board.recent_reads.push_back(
+        {runner->key, {prompt.parts.begin(), prompt.parts.end() - 1}});
+  }
+  this->reservation = std::make_shared<Reservation>(
+      this->board, runner->shared_from_this(),
+      dispatch::EngineLoad{.unread_tokens = placement->unread_tokens,
+                           .active = 1.0,
+                           .memory_tokens = request.prompt_tokens + request.output_tokens});
+  if (!this->workspace.empty()) {
+    WindowOf(this->board, this->workspace).served.Add(now, this->share_tokens);
+  }
+  this->board.unreported_tokens += placement->unread_tokens;
+  if (this->board.on_much_unreported) this->board.on_much_unreported();
+  return true;
+}
+
+bool RequestSession::PlaceService() {
+  // A plain service queues a few requests beyond its slots.
+  constexpr double kQueueFactor = 2.0;
+  const auto candidates = this->Candidates(Reach::kAll);
+  const auto now = this->board.clock.now();
+  std::vector<dispatch::ServiceOption> options;
+  options.reserve(candidates.size());
+  for (const auto* runner : candidates) {
+    options.push_back({.active = FleetLoad(this->board, *runner).active,
+                       .slots = static_cast<double>(runner->record.slots),
+                       .latency_ms = std::max(runner->health.latency_ms(), 1.0),
+                       .failure_share = runner->health.failure_share(now),
+                       .other_domain = runner->record.domain != this->board.settings.domain});
+  }
+  const auto chosen = dispatch::PlaceAtService(options, kQueueFactor);
+  if (!chosen) return false;
+  this->reservation = std::make_shared<Reservation>(
+      this->board, candidates[*chosen]->shared_from_this(), dispatch::EngineLoad{.active = 1.0});
+  return true;
+}
+
+}  // namespace pomelospar::edge
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -65,13 +65,18 @@
   void OnDeadline();
   void OnCallerGone();
 
-  // Placement.
+  // Placement, in request_placement.cc.
   boost::asio::awaitable<bool> WaitForRunner();
   bool TryPlace();
   bool PlaceEngine(const dispatch::EngineLimits& limits, const std::vector<Runner*>& candidates,
                    double share);
   bool PlaceService();
   std::vector<Runner*> Candidates(Reach reach) const;
+  std::vector<dispatch::EngineOption> DescribeEngines(const dispatch::EngineLimits& limits,
+                                                      const std::vector<Runner*>& candidates,
+                                                      double share) const;
+  void PreferCommonEngine(const std::vector<Runner*>& candidates,
+                          std::vector<dispatch::EngineOption>& options) const;
   std::vector<Runner*> Sample(std::vector<Runner*> candidates) const;
   Refusal NoRoom() const;
 
