--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -40,7 +40,6 @@
   void RemovePeer(const std::string& name);
   /// The key that authenticates messages; the previous one is accepted for a while.
   void SetKey(std::string key);
-  std::size_t peers() const { return this->addresses.size(); }
 
  private:
   PeerExchange(Blackboard& board, boost::asio::ip::udp::socket socket);
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -108,7 +108,6 @@
 
   core::Duration TimeLeft() const;
   double Draw(std::uint64_t purpose) const;
-  std::string_view workspace_name() const;
   void LogEnd(unsigned status, std::string_view outcome, std::string_view reason);
 
   Blackboard& board;
