Edge: An overloaded router keeps its connections and leads new ones away earlier

Cause: one caller of the grown sites opens hundreds of connections to one router of 0.12 core. When it was overloaded it closed all of them after their responses, the platform led the caller to the next router, which was overloaded in turn; 9,944 tries were cut without an answer. Now only a request that is shed closes its connection, so the caller keeps what the router can serve, and readiness ends at a mean lateness of 40 ms (120 before).

--- a/libraries/dispatch/processor_load.cc
+++ b/libraries/dispatch/processor_load.cc
@@ -12,6 +12,8 @@
 // done in time, so single late timers say nothing; their mean over about 10 periods does.
 constexpr double kToleratedMs = 20.0;
 constexpr double kOverloadedMs = 120.0;
+// New connections are led elsewhere before the open ones take all of the processor.
+constexpr double kBusyMs = 40.0;
 // The platform needs two seconds to lead callers away; after less than this they would be back
 // before the work that they left is done.
 constexpr core::Duration kOverloadMemory = std::chrono::seconds(4);
@@ -22,7 +24,7 @@
 void ProcessorLoad::OnTimer(core::TimePoint now, core::Duration lateness) {
   const double late = core::ToMilliseconds(lateness);
   this->mean_lateness_ms += kWeight * (late - this->mean_lateness_ms);
-  if (this->mean_lateness_ms > kOverloadedMs) this->overloaded_until = now + kOverloadMemory;
+  if (this->mean_lateness_ms > kBusyMs) this->overloaded_until = now + kOverloadMemory;
 }
 
 bool ProcessorLoad::IsOverloaded(core::TimePoint now) const { return now < this->overloaded_until; }
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -53,6 +53,7 @@
   bool started() const { return this->phase != Phase::kNotStarted; }
   bool disconnected() const { return this->input_closed || !this->stream->is_open(); }
   bool PeerHasClosed();
+  void CloseAfterResponse() { this->keep_alive = false; }
   boost::asio::awaitable<core::Result<void>> Respond(HttpResponse response);
   boost::asio::awaitable<core::Result<void>> StartStream(ResponseHead head);
   boost::asio::awaitable<core::Result<void>> Write(std::string_view piece);
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -15,6 +15,7 @@
 bool ServerExchange::started() const { return this->connection.started(); }
 
 bool ServerExchange::disconnected() const { return this->connection.disconnected(); }
+void ServerExchange::CloseAfterResponse() { this->connection.CloseAfterResponse(); }
 bool ServerExchange::PeerHasClosed() { return this->connection.PeerHasClosed(); }
 
 asio::awaitable<core::Result<void>> ServerExchange::Respond(HttpResponse response) {
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -38,6 +38,9 @@
   /// only after the event loop has come to it, which takes a while on a busy instance.
   bool PeerHasClosed();
 
+  /// Closes the connection after the response; call before the response is started.
+  void CloseAfterResponse();
+
   /// Sends a whole response.
   boost::asio::awaitable<core::Result<void>> Respond(HttpResponse response);
   /// Sends the head of a response whose body follows in pieces, in chunks or with a known length.
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -163,8 +163,6 @@
   this->sync->DropLapsedRunners();
   if (this->ticks % kTicksPerShareUpdate == 0) UpdateShareLevel(this->board);
   if (this->ticks % kTicksPerSettingsCheck == 0) this->ReloadSettings();
-  this->caller_server->CloseAfterResponses(
-      this->board.stopping || this->board.processor.IsOverloaded(this->board.clock.now()));
   const bool ready = this->IsReady();
   if (ready != this->was_ready) {
     this->was_ready = ready;
@@ -230,6 +228,9 @@
     http::HttpResponse response;
     response.status = 503;
     response.headers = {{"Retry-After", "0.001"}};
+    // A caller keeps as many connections here as this instance can serve and opens the others
+    // elsewhere. Closing all of them would only move the whole load to the next instance.
+    exchange.CloseAfterResponse();
     const auto sent = co_await exchange.Respond(std::move(response));
     this->log.Write(
         LogLevel::kWarning, "shed",
