Tests: Wait until all requests are accepted before the stop

It sent the signal when half of the expected queue was there, so some requests could arrive after it. A trial that sends a request on a connection opened before the signal got exactly that: 503, code not_serving, outcome not_run, which is what a stopping router promises. Ruled out: a request that connects after the signal is refused by the system, not with 503. The check stays; the set-up now waits for all requests, and a failure prints the body.

--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -124,16 +124,23 @@
         def long_stream(index):
             body = f.chat_body("x", 300, stream=True, nonce=f"long-{index}")
             status, _, content = victim.post("/v1/chat/completions", body, "atlas", timeout=60)
-            return status, content.endswith(b"data: [DONE]\n\n") and f"long-{index}".encode() in content
+            whole = content.endswith(b"data: [DONE]\n\n") and f"long-{index}".encode() in content
+            return status, whole, b"" if whole else content
+
+        def accepted():
+            status = victim.status()
+            return status["running_requests"] + status["queued_requests"]
 
         # Twice as many as there are slots, so that half of them are queued when the stop comes.
         calls = [f.Background(long_stream, index) for index in range(2 * total_slots)]
-        f.wait_until(lambda: victim.status()["queued_requests"] >= total_slots // 2, 5, "a queue")
+        # A request that arrives after the signal is refused, so all have to be accepted before it.
+        f.wait_until(lambda: accepted() == len(calls), 5, "all requests accepted")
+        self.assertGreaterEqual(victim.status()["queued_requests"], total_slots // 2)
         victim.process.signal(signal.SIGTERM)
         time.sleep(0.3)
         self.assertNotEqual(f.request(victim.admin, "GET", "/readyz", timeout=2)[0], 200)
         for call in calls:
-            self.assertEqual(call.join_result(), (200, True))
+            self.assertEqual(call.join_result(), (200, True, b""))
         self.assertEqual(victim.process.wait(10), 0, victim.process.log()[-2000:])
 
     # Guards against lost requests when the allocator of the busy shard stops and a second router
