Dispatch: Measure shares by what engines serve, and divide their slots by them

Engines that keep shared parts serve twice the operator's tokens-per-s, so all large workspaces counted as 4 to 21 times beyond their share, were accepted at idle engines only, and who asked most often got the next free slot; streams are so long there that slots run out before queues grow. Now the level follows what was served if that is more, a workspace beyond its share leaves the last slots of an engine to the others, and the accepted queue falls from half of the share, with the cube beyond it.

--- a/libraries/dispatch/admission.cc
+++ b/libraries/dispatch/admission.cc
@@ -1,6 +1,7 @@
 #include "libraries/dispatch/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelospar::dispatch {
 namespace {
@@ -11,11 +12,16 @@
 // A prompt that takes long to read is admitted up to this share of the objective all the same.
 constexpr double kLeastQueueShare = 0.3;
 // A workspace beyond its share uses engines that would otherwise be nearly idle. Between the two
-// uses the limit falls evenly and then with the square, so that workspaces with much work settle at
+// uses the limit falls evenly and then with the cube, so that workspaces with much work settle at
 // the same use.
-constexpr double kBeyondShareFactor = 0.35;
-constexpr double kFullUse = 0.8;
-constexpr double kBeyondUse = 1.2;
+constexpr double kBeyondShareFactor = 0.2;
+constexpr double kFullUse = 0.5;
+constexpr double kBeyondUse = 1.0;
+// Where streams are long, slots run out before the queue grows, and who asks most often gets the
+// next one. A workspace leaves the last slots to those with less of their share.
+constexpr double kFullSlotUse = 0.8;
+constexpr double kSlotsPerUse = 0.5;
+constexpr double kLeastSlotShare = 0.35;
 // A late answer is worth less to its caller than one in time to another.
 constexpr double kReturningFactor = 0.6;
 // Share of the objective, or of a returning caller's patience, for which a request may be held.
@@ -25,13 +31,18 @@
 constexpr double kFollowedShare = 0.32;
 
 double ShareFactor(double use) {
-  if (use > kBeyondUse) return kBeyondShareFactor * kBeyondUse * kBeyondUse / (use * use);
+  if (use > kBeyondUse) return kBeyondShareFactor * std::pow(kBeyondUse / use, 3.0);
   const double beyond = std::max((use - kFullUse) / (kBeyondUse - kFullUse), 0.0);
   return 1.0 - beyond * (1.0 - kBeyondShareFactor);
 }
 
 }  // namespace
 
+double SlotShare(const Standing& standing) {
+  const double beyond = std::max(standing.share_use - kFullSlotUse, 0.0);
+  return std::max(1.0 - kSlotsPerUse * beyond, kLeastSlotShare);
+}
+
 double AcceptedQueueMs(const EngineSpeed& speed, double tightest_objective_ms, double reading_ms,
                        const Standing& standing) {
   const double in_time =
--- a/libraries/dispatch/admission.h
+++ b/libraries/dispatch/admission.h
@@ -22,6 +22,10 @@
 double AcceptedQueueMs(const EngineSpeed& speed, double tightest_objective_ms, double reading_ms,
                        const Standing& standing);
 
+/// Share of an engine's slots that the request's workspace may fill. Answers streams so long that
+/// slots, not reading, bind: without it small workspaces find all slots taken by large ones.
+double SlotShare(const Standing& standing);
+
 /// How long a request may wait in the router for a runner before it is refused. Short, because a
 /// caller that knows soon can come back while its answer is still of use.
 core::Duration HoldLimit(core::Duration objective, core::Duration time_left,
--- a/services/pomelospar_edge/blackboard.cc
+++ b/services/pomelospar_edge/blackboard.cc
@@ -62,15 +62,22 @@
   }
   const auto now = board.clock.now();
   std::unordered_map<std::uint64_t, double> demand;
-  for (const auto& [key, usage] : board.peers.usage()) demand[key] += usage.asked;
+  double served = 0.0;
+  for (const auto& [key, usage] : board.peers.usage()) {
+    demand[key] += usage.asked;
+    served += usage.served;
+  }
   for (const auto& [name, window] : board.workspaces) {
     demand[core::HashName(name)] += window.asked.Sum(now);
+    served += window.served.Sum(now);
   }
   std::vector<double> demands;
   demands.reserve(demand.size());
   for (const auto& [key, tokens] : demand) demands.push_back(tokens);
   const double seconds = std::chrono::duration<double>(ShareWindow(board)).count();
-  board.share_level = dispatch::MaxMinLevel(demands, board.policy->tokens_per_second * seconds);
+  // Parts that engines keep are not read again, so they may serve more than the operator's figure.
+  const double capacity = std::max(board.policy->tokens_per_second * seconds, served);
+  board.share_level = dispatch::MaxMinLevel(demands, capacity);
 }
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -68,6 +68,7 @@
     const dispatch::EngineLimits& limits, const std::vector<Runner*>& candidates,
     double share) const {
   const auto now = this->board.clock.now();
+  const double slot_share = dispatch::SlotShare(this->standing);
   std::vector<dispatch::EngineOption> options;
   options.reserve(candidates.size());
   for (const auto* runner : candidates) {
@@ -76,7 +77,7 @@
                        .failure_share = runner->health.failure_share(now),
                        .cached_tokens = runner->prefixes.CachedTokens(this->facts.prompt.parts),
                        .memory_capacity = limits.memory_tokens,
-                       .slots = static_cast<double>(runner->record.slots) * share,
+                       .slots = static_cast<double>(runner->record.slots) * share * slot_share,
                        .other_domain = runner->record.domain != this->board.settings.domain});
   }
   return options;
@@ -108,9 +109,9 @@
   if (candidates.empty()) return false;
   const auto now = this->board.clock.now();
   const auto& prompt = this->facts.prompt;
+  this->standing.share_use = ShareUse(this->board, this->workspace, this->share_tokens);
   auto options = this->DescribeEngines(limits, candidates, share);
   this->PreferCommonEngine(candidates, options);
-  this->standing.share_use = ShareUse(this->board, this->workspace, this->share_tokens);
   const auto& speed = this->board.engine_speed;
   const double reading = dispatch::ReadingMs(speed, prompt.input_tokens, prompt.input_tokens, 0.0);
   const dispatch::EngineRequest request = {
--- a/tests/libraries/dispatch/placement_test.cc
+++ b/tests/libraries/dispatch/placement_test.cc
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <vector>
 
 #include "libraries/dispatch/admission.h"
@@ -132,6 +134,47 @@
   EXPECT_LT(previous, 0.05 * AcceptedQueueMs({}, 600.0, 20.0, {}));
 }
 
+// Replays engines whose slots are all in use: one large workspace asks four times as often as the
+// other, and a small one now and then (found on scale-1 and trouble-3 of afm-pomelo-grown).
+TEST(SlotShareTest, DividesSlotsEvenlyAndKeepsRoomForSmallWorkspaces) {
+  constexpr int kTicks = 2000;
+  constexpr int kStreamTicks = 40;
+  constexpr int kWindowTicks = 80;
+  constexpr double kSlots = 120.0;
+  constexpr double kCapacity = kSlots * kWindowTicks / kStreamTicks;
+  const std::array<int, 3> asks_per_tick = {16, 4, 0};
+  std::array<std::vector<int>, 3> begun;
+  std::array<int, 3> served{};
+  int refused_of_small = 0;
+  const auto count_since = [&](std::size_t workspace, int tick) {
+    const auto& times = begun[workspace];
+    return static_cast<double>(times.end() - std::lower_bound(times.begin(), times.end(), tick));
+  };
+  for (int tick = 0; tick < kTicks; ++tick) {
+    for (std::size_t workspace = 0; workspace < begun.size(); ++workspace) {
+      const int asks = workspace == 2 ? (tick % 8 == 0 ? 1 : 0) : asks_per_tick[workspace];
+      for (int ask = 0; ask < asks; ++ask) {
+        double active = 0.0;
+        for (std::size_t other = 0; other < begun.size(); ++other) {
+          active += count_since(other, tick - kStreamTicks + 1);
+        }
+        const double small = count_since(2, tick - kWindowTicks + 1);
+        const double use =
+            count_since(workspace, tick - kWindowTicks + 1) / ((kCapacity - small) / 2.0);
+        if (active < kSlots * SlotShare({.share_use = use})) {
+          begun[workspace].push_back(tick);
+          if (tick >= kTicks / 2) ++served[workspace];
+        } else if (workspace == 2 && tick > 2 * kWindowTicks) {
+          ++refused_of_small;
+        }
+      }
+    }
+  }
+  EXPECT_GT(2 * served[1], served[0]);
+  EXPECT_EQ(refused_of_small, 0);
+  EXPECT_GT(served[0] + served[1], kCapacity * kTicks / 2 / kWindowTicks * 3 / 4);
+}
+
 // Guards against requests that are held until their deadline and then refused.
 TEST(HoldLimitTest, IsAShortPartOfTheObjective) {
   using std::chrono::milliseconds;
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -1,8 +1,11 @@
 #include <gmock/gmock.h>
 #include <rapidcheck/gtest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <memory>
 #include <string>
 
+#include "services/pomelospar_edge/blackboard.h"
 #include "services/pomelospar_edge/event_splitter.h"
 #include "services/pomelospar_edge/peer_message.h"
 #include "services/pomelospar_edge/wait_queue.h"
@@ -97,6 +100,28 @@
   RC_ASSERT(!opened.has_value());
 }
 
+// Guards against a level far below what engines with kept parts serve, at which all large
+// workspaces count as far beyond their share and are no longer told apart.
+TEST(ShareLevelTest, GrowsWithWhatIsServed) {
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::BufferedLog log(-1, clock.clock());
+  adapter::InstanceSettings settings;
+  settings.share_window = std::chrono::seconds(3);
+  Blackboard board(io, clock.clock(), settings, log);
+  auto policy = std::make_shared<dispatch::Policy>();
+  policy->tokens_per_second = 1000.0;
+  board.policy = policy;
+  for (const auto* name : {"large", "larger"}) {
+    WindowOf(board, name).asked.Add(clock.now(), 5000.0);
+  }
+  UpdateShareLevel(board);
+  EXPECT_DOUBLE_EQ(board.share_level, 500.0);
+  WindowOf(board, "large").served.Add(clock.now(), 3000.0);
+  UpdateShareLevel(board);
+  EXPECT_DOUBLE_EQ(board.share_level, 1500.0);
+}
+
 // Guards against callers that come back and pass those that are still in time.
 TEST(WaitQueueTest, TriesInOrderOfRankAndArrival) {
   WaitQueue queue;
