Tests: A fault soak of the routers on the users' platform

Three routers as real processes with proxied paths to store and runners, drawn faults that overlap, callers with kept connections, and promises checked by what callers and runners see.

--- /dev/null
+++ b/tests/soak/fault_soak.py
@@ -0,0 +1,314 @@
+"""A fault soak of the routers for the users' platform: real processes, drawn faults, promises checked.
+
+    fault_soak.py --seeds 1-50 [--seconds 12]
+
+Each seed starts three routers against the stand-in of the platform, each with a path of its own to the
+store, and two kinds of runners, each behind a proxy. Callers keep their connections and send streams,
+bookings and lookups while faults come in series and overlap: proxies that delay, silence, cut one way or
+reset; a store that refuses or is silent; routers that are stopped, paused, killed and started again or
+whose settings file changes; runners that leave, break off, hang or answer with errors; keys that are
+taken away. Checked from what callers and runners see, while the faults last:
+
+  - a booking runs once at most, and never after a 429 or 503
+  - a success is the runner's whole answer to this request; a stream has each event once, in order
+  - a key that was taken away does not work longer than the limit
+  - no router ends by itself, and one that is told to stop ends in time
+  - after the last fault, all routers are ready and requests are served again
+
+Prints one line a seed, and with the first broken promise the faults and the end of the routers' logs.
+"""
+
+import argparse
+import http.client
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "system"))
+from platform_router import KEY, REVOCATION_LIMIT, Router, until  # noqa: E402
+from proxy import Proxy  # noqa: E402
+from table_platform import Platform  # noqa: E402
+
+ROUTERS = 3
+CALLERS = 8
+EVENTS = 8
+# `grace-s` of the settings, and the time of the system to end a process.
+STOP_LIMIT = 8.5
+# The users' `recover-s` is 12.
+RECOVERY_LIMIT = 12.0
+# A request on its way when the limit ends is judged by the router just before it.
+TRANSIT = 0.3
+WHOLE_STREAM = b"".join(f"id: {n}\ndata: part-{n}\n\n".encode() for n in range(1, EVENTS + 1))
+
+
+class Caller(threading.Thread):
+    """Sends requests one after another, each on a kept connection if there is one."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak, self.number = soak, number
+        self.random = random.Random(f"{soak.seed} caller {number}")
+        self.connections = {}
+
+    def run(self):
+        count = 0
+        while not self.soak.over.is_set():
+            count += 1
+            router = self.random.choice(self.soak.routers)
+            kind = self.random.choice("sbl")
+            key = self.random.choice(self.soak.keys)
+            self.send(f"{kind}-{self.number}-{count}", kind, router, key)
+            time.sleep(self.random.uniform(0.0, 0.05))
+
+    def send(self, identifier, kind, router, key):
+        headers = {
+            "Host": "a.example",
+            "X-Attempt-Id": identifier,
+            "X-Deadline-Ms": "1500",
+            "X-Token-Usage": "1000,40",
+            "X-Prompt-Prefix": "a1:500,b2:500",
+            "Authorization": f"Token {key}",
+        }
+        status, body = None, None
+        self.soak.sent_with.append((identifier, key, time.monotonic()))
+        connection = self.connections.pop(router, None)
+        if connection is None:
+            connection = http.client.HTTPConnection(router.ip, router.callers, timeout=4)
+        try:
+            connection.request("GET" if kind == "l" else "POST", f"/{kind}/1", headers=headers)
+            answer = connection.getresponse()
+            status = answer.status
+            body = answer.read()
+            if answer.will_close:
+                connection.close()
+            else:
+                self.connections[router] = connection
+        except (OSError, http.client.HTTPException):
+            connection.close()
+        self.soak.results.append((identifier, kind, status, body))
+
+
+class Soak:
+    def __init__(self, seed, seconds):
+        self.seed, self.seconds = seed, seconds
+        self.random = random.Random(seed)
+        self.over = threading.Event()
+        self.results, self.sent_with, self.faults, self.broken = [], [], [], []
+        self.keys, self.revoked, self.version = [KEY, "key-a", "key-b"], {}, 3
+        self.platform = Platform()
+        self.platform.configure(self.version, self.keys)
+        self.runners, self.proxies = [], []
+        for service, count in (("engines", 3), ("desk", 3)):
+            for number in range(count):
+                runner = self.platform.add_runner(f"i-{service}-{number}", service)
+                proxy = Proxy(runner.port)
+                runner.port = proxy.port
+                self.platform.put("servers", runner.identifier, runner.entry())
+                self.runners.append(runner)
+                self.proxies.append(proxy)
+        self.paths = [Proxy(self.platform.store_port) for _ in range(ROUTERS)]
+        self.routers = [
+            Router(path.port, f"127.{seed % 250 + 1}.0.{number + 1}")
+            for number, path in enumerate(self.paths)
+        ]
+
+    def check(self, condition, message):
+        if not condition:
+            self.broken.append(message)
+
+    def note(self, text):
+        self.faults.append(f"{time.monotonic() - self.begun:6.2f} {text}")
+
+    # Faults. Each returns what undoes it, or nothing.
+
+    def disturb_path(self):
+        path, fault = self.random.choice(self.paths), self.random.choice(["silent", "deaf", "mute", "refuse"])
+        self.note(f"store path {self.paths.index(path)} {fault}")
+        path.disturb(fault)
+        return lambda: path.disturb(None)
+
+    def disturb_runner(self):
+        proxy, fault = self.random.choice(self.proxies), self.random.choice(["silent", "mute", "refuse"])
+        self.note(f"runner {self.proxies.index(proxy)} {fault}")
+        proxy.disturb(fault)
+        return lambda: proxy.disturb(None)
+
+    def delay(self):
+        proxy = self.random.choice(self.proxies + self.paths)
+        proxy.delay = self.random.uniform(0.005, 0.1)
+        self.note(f"delay {proxy.delay:.3f}")
+        return lambda: setattr(proxy, "delay", 0.0)
+
+    def fail_store(self):
+        store, mode = self.platform.store, self.random.choice(["reset", "silent", 503, 429])
+        self.note(f"store {mode}")
+        store.mode = mode
+        return lambda: setattr(store, "mode", "ok")
+
+    def fail_runner(self):
+        runner = self.random.choice(self.runners)
+        faults = ["break", "full", "error", "no_receipt", "unframed", "extra", "refuse_silently", "hang"]
+        runner.fault = self.random.choice(faults)
+        self.note(f"{runner.identifier} {runner.fault}")
+        return lambda: setattr(runner, "fault", None)
+
+    def drain_runner(self):
+        runner = self.random.choice(self.runners)
+        self.note(f"{runner.identifier} drains")
+        self.platform.put("servers", runner.identifier, runner.entry("draining"))
+        return lambda: self.platform.put("servers", runner.identifier, runner.entry())
+
+    def pause_router(self):
+        router = self.random.choice(self.routers)
+        self.note(f"pause {router.ip}")
+        router.process.send_signal(signal.SIGSTOP)
+        return lambda: router.process.send_signal(signal.SIGCONT)
+
+    def kill_router(self):
+        router = self.random.choice(self.routers)
+        self.note(f"kill {router.ip}")
+        router.process.kill()
+        router.process.wait()
+        return router.start
+
+    def stop_router(self):
+        router = self.random.choice(self.routers)
+        self.note(f"stop {router.ip}")
+        router.process.send_signal(signal.SIGCONT)
+        begun = time.monotonic()
+        router.process.send_signal(signal.SIGTERM)
+
+        def start():
+            ended = until(lambda: router.process.poll() is not None, STOP_LIMIT - (time.monotonic() - begun))
+            self.check(ended and router.process.returncode == 0, f"{router.ip} did not end in time")
+            if not ended:
+                router.process.kill()
+            router.process.wait()
+            router.start()
+
+        return start
+
+    def change_settings(self):
+        router = self.random.choice(self.routers)
+        with_signal = self.random.random() < 0.5
+        self.note(f"settings of {router.ip}, {'with' if with_signal else 'without'} a signal")
+        with open(router.settings_path, "a", encoding="utf-8") as file:
+            file.write("# changed\n")
+        if with_signal:
+            router.process.send_signal(signal.SIGHUP)
+
+    def revoke_key(self):
+        if len(self.keys) < 2 or self.platform.store.mode != "ok":
+            return None
+        key = self.keys.pop()
+        self.note(f"revoke {key}")
+        self.version += 1
+        self.platform.configure(self.version, list(self.keys))
+        self.revoked[key] = time.monotonic()
+        return None
+
+    def play(self):
+        self.begun = time.monotonic()
+        self.check(all(until(router.is_ready, 8) for router in self.routers), "not ready at the start")
+        callers = [Caller(self, number) for number in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + self.seconds
+        undo = []
+        kinds = [
+            self.disturb_path, self.disturb_runner, self.delay, self.fail_store, self.fail_runner,
+            self.drain_runner, self.pause_router, self.kill_router, self.stop_router,
+            self.change_settings, self.revoke_key,
+        ]  # fmt: skip
+        # Two of these at once on one router would be undone in the wrong order.
+        on_routers = (self.pause_router, self.kill_router, self.stop_router)
+        while time.monotonic() < end:
+            time.sleep(self.random.uniform(0.1, 0.9))
+            kind, lasts = self.random.choice(kinds), self.random.uniform(0.3, 4.0)
+            if kind not in on_routers or all(entry[0] not in on_routers for entry in undo):
+                restore = kind()
+                if restore:
+                    undo.append((kind, time.monotonic() + lasts, restore))
+            for entry in [entry for entry in undo if entry[1] <= time.monotonic()]:
+                undo.remove(entry)
+                entry[2]()
+        for _, _, restore in undo:
+            restore()
+        self.note("faults over")
+        self.check(all(until(router.is_ready, RECOVERY_LIMIT) for router in self.routers), "not ready again")
+        before = len(self.results)
+        time.sleep(2.0)
+        late = [status for _, _, status, _ in self.results[before:]]
+        self.check(late.count(200) >= 0.9 * len(late) > 0, f"served {late.count(200)} of {len(late)} after the faults")
+        self.over.set()
+        for caller in callers:
+            caller.join(6)
+        for router in self.routers:
+            self.check(router.process.poll() is None, f"{router.ip} ended by itself")
+        self.judge()
+
+    def judge(self):
+        runs = {}
+        for runner in self.runners:
+            for request in runner.executed:
+                runs.setdefault(request["headers"]["x-attempt-id"], []).append(request)
+                key_named = request["headers"].get("authorization")
+                self.check(key_named is None, "a runner was shown a key")
+        for identifier, kind, status, body in self.results:
+            ran = len(runs.get(identifier, []))
+            if kind == "b":
+                self.check(ran <= 1, f"{identifier} ran {ran} times")
+                self.check(status not in (429, 503) or ran == 0, f"{identifier} got {status} and ran")
+            if status != 200 or body is None:
+                continue
+            self.check(ran > 0, f"{identifier} got 200 and did not run")
+            whole = WHOLE_STREAM if kind == "s" else f"whole answer to {identifier}".encode()
+            self.check(body == whole, f"{identifier} got {body[:80]!r}")
+        for identifier, key, at in self.sent_with:
+            limit = self.revoked.get(key, at) + REVOCATION_LIMIT + TRANSIT
+            late = [run for run in runs.get(identifier, []) if run["at"] > limit and at > limit]
+            self.check(not late, f"{identifier} ran with {key} after it was taken away")
+
+    def end(self):
+        self.over.set()
+        for router in self.routers:
+            if router.process.poll() is None:
+                router.process.send_signal(signal.SIGCONT)
+            router.end()
+
+
+def run(seed, seconds):
+    """Plays one seed; true if all promises were kept."""
+    soak = Soak(seed, seconds)
+    try:
+        soak.play()
+        served = sum(status == 200 for _, _, status, _ in soak.results)
+        print(f"seed {seed}: {len(soak.results)} requests, {served} served, {len(soak.broken)} broken", flush=True)
+        for message in soak.broken[:10]:
+            print("  broken:", message)
+        if soak.broken:
+            print("  faults:", *soak.faults, sep="\n    ")
+            for router in soak.routers:
+                with open(router.log_path, encoding="utf-8", errors="replace") as file:
+                    print(f"  log of {router.ip}:", *file.readlines()[-40:], sep="\n    ")
+        return not soak.broken
+    finally:
+        soak.end()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seeds", default="1", help="one seed, or the first and the last: 1-50")
+    parser.add_argument("--seconds", type=float, default=12.0, help="time with faults in each seed")
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
+    failed = [seed for seed in range(int(first), int(last or first) + 1) if not run(seed, arguments.seconds)]
+    print(f"failed seeds: {failed}" if failed else "all seeds kept all promises")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -135,6 +135,8 @@
         self.events = 8
         self.gap = 0.005
         self.requests = []
+        # Those that began to run.
+        self.executed = []
         self.cancelled = []
         self.port = 0
         self.server = None
@@ -181,6 +183,7 @@
         if self.fault == "other_instance" or headers.get("x-expect-instance") != self.identifier:
             writer.write(response(421, b"", [("X-Instance-Id", "i-unknown")]))
             return True
+        self.executed.append({"headers": headers, "at": time.monotonic()})
         if self.fault == "error":
             writer.write(response(500, b"broken", known))
             return True
