--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -239,7 +239,9 @@
   std::uint64_t version = 0;
   bool whole = true;
   while (true) {
-    if (!whole && watch.relayed) co_await this->WaitUntilDue(watch);
+    if (!whole && watch.relayed) {
+      co_await this->WaitUntilDue(watch);
+    }
     const auto asked_at = this->board.clock.since_boot();
     const auto rows = co_await this->Ask(watch, whole, version);
     if (rows) {
