Dispatch: An overloaded router leads new connections away for 10 s

Cause: a heavy caller of the grown sites came back to the same router after 4 s, so two or three routers took its load in turn.

--- a/libraries/dispatch/processor_load.cc
+++ b/libraries/dispatch/processor_load.cc
@@ -14,9 +14,9 @@
 constexpr double kOverloadedMs = 120.0;
 // New connections are led elsewhere before the open ones take all of the processor.
 constexpr double kBusyMs = 40.0;
-// The platform needs two seconds to lead callers away; after less than this they would be back
-// before the work that they left is done.
-constexpr core::Duration kOverloadMemory = std::chrono::seconds(4);
+// The platform needs two seconds to lead a caller to the next instance. For so long it does not
+// come back, so that its connections spread over five instances.
+constexpr core::Duration kOverloadMemory = std::chrono::seconds(10);
 constexpr double kLargestShare = 0.95;
 
 }  // namespace
