--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -25,9 +25,9 @@
   bool listed = false;
 };
 
-/// Tells the other routers what this one does, and takes their reports. Reports are hints for
-/// placement and shares: one that is lost is replaced by the next, and nothing that must hold
-/// depends on them.
+/// Tells the other routers what this one does, and takes their reports. What they say of work is a
+/// hint for placement and shares; their proofs of the store's content hold however late they
+/// arrive. A report that is lost is replaced by the next.
 class PeerExchange {
  public:
   /// Errors: `kUnavailable` if the address cannot be bound.
