--- a/services/pomelospar_edge/event_splitter.cc
+++ b/services/pomelospar_edge/event_splitter.cc
@@ -2,22 +2,11 @@
 
 #include <algorithm>
 
+#include "libraries/http/event_stream.h"
+
 namespace pomelospar::edge {
 namespace {
 
-// The end of the first event at or after `start`, or npos. Lines may end in LF or CRLF.
-std::size_t EventEnd(std::string_view text, std::size_t start) {
-  while (true) {
-    const auto line_end = text.find('\n', start);
-    if (line_end == std::string_view::npos) return line_end;
-    if (line_end + 1 < text.size() && text[line_end + 1] == '\n') return line_end + 2;
-    if (line_end + 2 < text.size() && text[line_end + 1] == '\r' && text[line_end + 2] == '\n') {
-      return line_end + 3;
-    }
-    start = line_end + 1;
-  }
-}
-
 std::optional<std::string_view> FindIdentifier(std::string_view event) {
   constexpr std::string_view kField = "id:";
   std::size_t start = 0;
@@ -54,7 +43,7 @@
   this->buffer.append(bytes);
   const std::string_view text = this->buffer;
   while (true) {
-    const auto end = EventEnd(text, this->returned);
+    const auto end = http::EndOfEvent(text, this->returned);
     if (end == std::string_view::npos) break;
     this->NoteEvent(text.substr(this->returned, end - this->returned));
     this->returned = end;
