Core: Read text files in one place; Http: CloseAfterResponses without a flag

pomelospar_edge read its settings twice by hand although pomelospard had ReadTextFile, which moves to libraries/core. CloseAfterResponses was only ever called to switch it on, since an overloaded router keeps its connections. No change of behaviour.

--- a/services/pomelospard/text_file.cc
+++ b/libraries/core/text_file.cc
@@ -1,32 +1,31 @@
-#include "services/pomelospard/text_file.h"
+#include "libraries/core/text_file.h"
 
 #include <fmt/format.h>
 
 #include <fstream>
 #include <iterator>
 
-namespace pomelospar::daemon {
+namespace pomelospar::core {
 
-core::Result<std::string> ReadTextFile(const std::string& path) {
+Result<std::string> ReadTextFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
-    return core::MakeError(
-        core::ErrorKind::kNotFound,
-        fmt::format("cannot read \"{}\"; check the path and its permissions", path));
+    return MakeError(ErrorKind::kNotFound,
+                     fmt::format("cannot read \"{}\"; check the path and its permissions", path));
   }
   return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
 }
 
-core::Result<std::string> ReadSecretFile(const std::string& path) {
+Result<std::string> ReadSecretFile(const std::string& path) {
   constexpr std::string_view kWhiteSpace = " \t\r\n";
   BOOST_OUTCOME_TRY(const auto content, ReadTextFile(path));
   const auto begin = content.find_first_not_of(kWhiteSpace);
   if (begin == std::string::npos) {
-    return core::MakeError(core::ErrorKind::kInvalidArgument,
-                           fmt::format("\"{}\" is empty; write the secret into it", path));
+    return MakeError(ErrorKind::kInvalidArgument,
+                     fmt::format("\"{}\" is empty; write the secret into it", path));
   }
   const auto end = content.find_last_not_of(kWhiteSpace);
   return content.substr(begin, end - begin + 1);
 }
 
-}  // namespace pomelospar::daemon
+}  // namespace pomelospar::core
--- /dev/null
+++ b/libraries/core/text_file.h
@@ -0,0 +1,19 @@
+#ifndef POMELOSPAR_LIBRARIES_CORE_TEXT_FILE_H_
+#define POMELOSPAR_LIBRARIES_CORE_TEXT_FILE_H_
+
+#include <string>
+
+#include "libraries/core/result.h"
+
+namespace pomelospar::core {
+
+/// The content of a file. Errors: `kNotFound`.
+Result<std::string> ReadTextFile(const std::string& path);
+
+/// A secret from a file, without white space around it. Errors: `kNotFound`, `kInvalidArgument` if
+/// the file is empty.
+Result<std::string> ReadSecretFile(const std::string& path);
+
+}  // namespace pomelospar::core
+
+#endif  // POMELOSPAR_LIBRARIES_CORE_TEXT_FILE_H_
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -138,9 +138,7 @@
 
 std::string HttpServer::address() const { return this->state->address; }
 
-void HttpServer::CloseAfterResponses(bool close) {
-  this->state->server->close_after_responses = close;
-}
+void HttpServer::CloseAfterResponses() { this->state->server->close_after_responses = true; }
 
 void HttpServer::StopAccepting() {
   this->state->server->stopping = true;
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -28,9 +28,9 @@
 
   /// "ip:port" with the port that the system chose.
   std::string address() const;
-  /// While set, each response announces that its connection closes, and new connections are still
+  /// From now on each response announces that its connection closes, and new connections are still
   /// served: callers move away without a cut.
-  void CloseAfterResponses(bool close);
+  void CloseAfterResponses();
   /// Accepts what the system has already queued, then listens no more. Idle connections close;
   /// requests in progress are answered and their connections closed after that.
   void StopAccepting();
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -9,11 +9,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 #include "libraries/core/milliseconds.h"
+#include "libraries/core/text_file.h"
 #include "services/pomelospar_edge/request_session.h"
 
 namespace pomelospar::edge {
@@ -187,18 +186,15 @@
 }
 
 void Edge::ReloadSettings() {
-  std::ifstream file(this->settings_path);
-  std::ostringstream content;
-  content << file.rdbuf();
-  auto document = content.str();
-  if (!file || document == this->settings_document) return;
-  auto decoded = adapter::DecodeSettings(document);
+  auto document = core::ReadTextFile(this->settings_path);
+  if (!document || document.value() == this->settings_document) return;
+  auto decoded = adapter::DecodeSettings(document.value());
   if (!decoded) {
     this->log.Write(LogLevel::kError, "settings_rejected", {{"error", decoded.error().message}});
     return;
   }
   // Addresses that this process listens on stay until its next start.
-  this->settings_document = std::move(document);
+  this->settings_document = std::move(document.value());
   this->board.settings = std::move(decoded.value());
   this->store.SetAddress(this->board.settings.store_address);
   this->ApplyCallerLimits();
@@ -261,7 +257,7 @@
   const auto limit = begun + this->board.settings.stop_grace - kStopMargin;
   this->log.Write(LogLevel::kInfo, "stop",
                   {{"requests", std::uint64_t{this->caller_server->active_exchanges()}}});
-  this->caller_server->CloseAfterResponses(true);
+  this->caller_server->CloseAfterResponses();
   asio::co_spawn(this->io, this->sync->Unregister(), asio::detached);
   asio::steady_timer timer(this->io);
   timer.expires_at(std::min(begun + kAcceptAfterStop, limit));
--- a/services/pomelospar_edge/main.cc
+++ b/services/pomelospar_edge/main.cc
@@ -6,9 +6,8 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
-#include <sstream>
 
+#include "libraries/core/text_file.h"
 #include "platform/settings.h"
 #include "services/pomelospar_edge/edge.h"
 
@@ -44,20 +43,17 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (argc > 1) return Fail(kUsage, "takes no arguments besides its flags; see --help");
   const auto path = SettingsPath();
-  std::ifstream file(path);
-  std::ostringstream content;
-  content << file.rdbuf();
-  if (!file) return Fail(kUsage, fmt::format("cannot read the settings file {}", path));
-  auto document = content.str();
-  auto settings = DecodeSettings(document);
+  auto document = pomelospar::core::ReadTextFile(path);
+  if (!document) return Fail(kUsage, fmt::format("cannot read the settings file {}", path));
+  auto settings = DecodeSettings(document.value());
   if (!settings) return Fail(kUsage, settings.error().message);
   if (FLAGS_check) return 0;
   std::signal(SIGPIPE, SIG_IGN);
   // Freed memory is kept for the next request instead of being returned by a system call.
   mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes);
   mallopt(M_TOP_PAD, kHeapStepBytes);
-  auto edge =
-      pomelospar::edge::Edge::Create(path, std::move(document), std::move(settings.value()));
+  auto edge = pomelospar::edge::Edge::Create(path, std::move(document.value()),
+                                             std::move(settings.value()));
   if (!edge) return Fail(kFailed, edge.error().message);
   edge.value()->Run();
   // Requests that were cut at the end of the grace time are not unwound.
--- a/services/pomelospard/daemon.cc
+++ b/services/pomelospard/daemon.cc
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libraries/core/text_file.h"
 #include "libraries/platform/http_platform_client.h"
 #include "services/pomelospard/crash_controller.h"
 #include "services/pomelospard/ledger_controller.h"
@@ -20,7 +21,6 @@
 #include "services/pomelospard/runner_controller.h"
 #include "services/pomelospard/scheduling_controller.h"
 #include "services/pomelospard/sleep.h"
-#include "services/pomelospard/text_file.h"
 
 namespace pomelospar::daemon {
 namespace {
@@ -115,7 +115,8 @@
 }
 
 core::Result<void> Daemon::ReadAdminToken() {
-  BOOST_OUTCOME_TRY(this->admin_token, ReadSecretFile(this->board->settings.admin_token_file));
+  BOOST_OUTCOME_TRY(this->admin_token,
+                    core::ReadSecretFile(this->board->settings.admin_token_file));
   return core::Success();
 }
 
--- a/services/pomelospard/main.cc
+++ b/services/pomelospard/main.cc
@@ -5,8 +5,8 @@
 #include <variant>
 
 #include "libraries/configuration/daemon_settings.h"
+#include "libraries/core/text_file.h"
 #include "services/pomelospard/daemon.h"
-#include "services/pomelospard/text_file.h"
 
 DEFINE_string(settings, "", "path of the daemon's settings file (TOML)");
 DEFINE_bool(check, false, "check the settings file and exit: 0 if it is valid, 2 if not");
@@ -32,7 +32,7 @@
   if (FLAGS_settings.empty() || argc > 1) {
     return Fail(kUsage, "give the settings file as --settings=FILE and no other arguments");
   }
-  const auto document = pomelospar::daemon::ReadTextFile(FLAGS_settings);
+  const auto document = pomelospar::core::ReadTextFile(FLAGS_settings);
   if (!document) {
     return Fail(kUsage, document.error().message);
   }
