Edge: Index runners once for each answer; remove what nothing uses

RemoveRunner rebuilt the index for each runner that left and ApplyRunners once more at its end; the callers do it once now. WaitUntilDue counted the rank twice. IsQuiet and IsAtEnd peeked at the socket each in its own way. A comment stood above the wrong constant. No change of behaviour.

--- a/libraries/dispatch/engine_model.cc
+++ b/libraries/dispatch/engine_model.cc
@@ -38,9 +38,4 @@
   return ReadingMs(speed, load.unread_tokens, kTypicalContextTokens, load.active);
 }
 
-double StepMs(const EngineSpeed& speed, double active, double reading_share) {
-  const double generating = speed.step_ms + speed.step_ms_per_request * active;
-  return generating + reading_share * speed.chunk_tokens / speed.prompt_tokens_per_ms;
-}
-
 }  // namespace pomelospar::dispatch
--- a/libraries/dispatch/engine_model.h
+++ b/libraries/dispatch/engine_model.h
@@ -37,10 +37,6 @@
 /// Time until the engine has read what was sent to it before, in milliseconds.
 double QueueMs(const EngineSpeed& speed, const EngineLoad& load);
 
-/// Duration of one step that generates a token for each of `active` requests, in milliseconds,
-/// when a chunk of a prompt is read in the share `reading_share` of all steps.
-double StepMs(const EngineSpeed& speed, double active, double reading_share);
-
 }  // namespace pomelospar::dispatch
 
 #endif  // POMELOSPAR_LIBRARIES_DISPATCH_ENGINE_MODEL_H_
--- a/libraries/http/byte_stream.cc
+++ b/libraries/http/byte_stream.cc
@@ -22,6 +22,17 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
+// What the next read of a socket would find.
+enum class Pending { kNothing, kBytes, kEnd };
+
+Pending Peek(tcp::socket& socket) {
+  char byte = 0;
+  const auto count = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) return Pending::kBytes;
+  const bool waits = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return waits ? Pending::kNothing : Pending::kEnd;
+}
+
 }  // namespace
 
 struct TlsContext::State {
@@ -113,17 +124,11 @@
 bool ByteStream::is_open() const { return this->state->socket.is_open(); }
 
 bool ByteStream::IsQuiet() {
-  if (!this->is_open()) return false;
-  char byte = 0;
-  const auto count = recv(this->state->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return this->is_open() && Peek(this->state->socket) == Pending::kNothing;
 }
 
 bool ByteStream::IsAtEnd() {
-  if (!this->is_open()) return true;
-  char byte = 0;
-  const auto count = recv(this->state->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return !this->is_open() || Peek(this->state->socket) == Pending::kEnd;
 }
 
 core::Result<tcp::endpoint> ParseEndpoint(std::string_view address) {
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -85,12 +85,6 @@
   return this->board.peers.RankOf(settings.ip, this->IsLarge() ? settings.domain : "");
 }
 
-void PeerExchange::Stop() {
-  boost::system::error_code ignored;
-  this->socket.close(ignored);
-  this->timer.cancel();
-}
-
 void PeerExchange::SetPeer(const std::string& name, std::string_view address,
                            std::string_view domain) {
   const auto endpoint = http::ParseEndpoint(address);
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -40,7 +40,6 @@
 
   /// Starts to send and to receive.
   void Start();
-  void Stop();
   /// The address for this router's row.
   std::string address() const;
   /// A malformed address is left out with a log line.
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -28,12 +28,12 @@
 constexpr unsigned kMostStrayResponses = 2;
 // Larger bodies are passed on in pieces instead of being held until they are whole.
 constexpr std::size_t kHeldBodyBytes = 256U << 10U;
-// A runner's timeout may run out while the next request is on its way.
 // A crashed process has closed its listener by this time after its connections broke.
 constexpr core::Duration kCrashProbeDelay = milliseconds(20);
 constexpr core::Duration kCrashProbeTimeout = milliseconds(200);
 // Beyond this lateness of the event loop a caller's close is looked for before each send.
 constexpr double kLateMs = 3.0;
+// A runner's timeout may run out while the next request is on its way.
 constexpr core::Duration kIdleMargin = milliseconds(1000);
 
 // These statuses promise that a request did not run, which only `not_executed` makes true.
--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -26,21 +26,22 @@
   return unheard ? std::max<std::size_t>(rank, 1) : rank;
 }
 
-void StoreSync::NoteRole() {
+std::size_t StoreSync::NoteRole() {
   const auto rank = this->Rank();
-  if (this->is_first == (rank == 0)) return;
+  if (this->is_first == (rank == 0)) return rank;
   this->is_first = rank == 0;
   this->board.log.Write(LogLevel::kInfo, "store_role",
                         {{"asks_for_others", rank == 0},
                          {"rank", std::uint64_t{rank}},
                          {"peers", std::uint64_t{this->board.peers.size()}}});
+  return rank;
 }
 
 asio::awaitable<void> StoreSync::WaitUntilDue(Watch& watch) {
   while (true) {
-    this->NoteRole();
+    const auto rank = this->NoteRole();
     if (watch.outdated) break;
-    const auto limit = dispatch::AskAge(watch.schedule, this->Rank());
+    const auto limit = dispatch::AskAge(watch.schedule, rank);
     const auto age = this->board.clock.since_boot() - watch.proven_at;
     if (age >= limit) break;
     watch.timer.expires_after(std::min<core::Duration>(limit - age, kRoleCheck));
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -300,7 +300,9 @@
       due.push_back(id);
     }
   }
+  if (due.empty()) return;
   for (const auto& id : due) this->RemoveRunner(id, "entry did not come back");
+  IndexRunners(this->board);
 }
 
 void StoreSync::RemoveRunner(const std::string& id, std::string_view reason) {
@@ -311,7 +313,6 @@
   this->pool.Forget(found->second->record.address);
   this->board.runners_by_key.erase(found->second->key);
   this->board.runners.erase(found);
-  IndexRunners(this->board);
 }
 
 void StoreSync::ApplyRouters(const adapter::StoreRows& rows, bool whole) {
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -68,7 +68,8 @@
   boost::asio::awaitable<void> Follow(Watch& watch);
   boost::asio::awaitable<void> WaitUntilDue(Watch& watch);
   void NoteAnswer(Watch& watch, const adapter::StoreRows& rows, core::Duration asked_at);
-  void NoteRole();
+  /// Logs a change of role; returns the rank, 0 for the router that asks for others.
+  std::size_t NoteRole();
   std::size_t Rank() const;
   void SetProof(Watch& watch, std::uint64_t state, core::Duration asked_at);
   void NoteRegained(core::Duration stamp);
@@ -84,6 +85,7 @@
   void ApplyPolicy(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   void ApplyRunners(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   void ApplyRunner(const adapter::StoreRow& row);
+  /// Call `IndexRunners` after the last one.
   void RemoveRunner(const std::string& id, std::string_view reason);
   void MissRunner(const std::string& id);
   void ApplyRouters(const adapter::StoreRows& rows, bool whole);
