--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -28,7 +28,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "system"))
-from platform_router import KEY, REVOCATION_LIMIT, Router, until  # noqa: E402
+from platform_router import KEY, REVOCATION_LIMIT, Router, caller_headers, until  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from table_platform import Platform  # noqa: E402
 
@@ -64,14 +64,7 @@
             time.sleep(self.random.uniform(0.0, 0.05))
 
     def send(self, identifier, kind, router, key):
-        headers = {
-            "Host": "a.example",
-            "X-Attempt-Id": identifier,
-            "X-Deadline-Ms": "1500",
-            "X-Token-Usage": "1000,40",
-            "X-Prompt-Prefix": "a1:500,b2:500",
-            "Authorization": f"Token {key}",
-        }
+        headers = caller_headers(identifier, key, patience_ms=1500)
         status, body = None, None
         self.soak.sent_with.append((identifier, key, time.monotonic()))
         connection = self.connections.pop(router, None)
--- a/tests/system/platform_router.py
+++ b/tests/system/platform_router.py
@@ -42,6 +42,18 @@
 """
 
 
+def caller_headers(attempt, key, patience_ms=5000):
+    """Headers of a request as callers of the platform send it; no key for a public route."""
+    headers = {
+        "Host": "a.example",
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": str(patience_ms),
+        "X-Token-Usage": "1000,40",
+        "X-Prompt-Prefix": "a1:500,b2:500",
+    }
+    return headers | ({"Authorization": f"Token {key}"} if key else {})
+
+
 class Router:
     """One process of the router, with its log. Routers of one fleet need an address each."""
 
@@ -81,6 +93,19 @@
         except OSError:
             return False
 
+    def ask(self, attempt, path, method="POST", key=KEY, headers=(), timeout=8):
+        """Status, headers and body; the body is None if the answer was not whole."""
+        sent = caller_headers(attempt, key) | dict(headers)
+        connection = http.client.HTTPConnection(self.ip, self.callers, timeout=timeout)
+        connection.request(method, path, body=b"asked" if method == "POST" else None, headers=sent)
+        answer = connection.getresponse()
+        try:
+            return answer.status, answer.headers, answer.read()
+        except (http.client.IncompleteRead, ConnectionError):
+            return answer.status, answer.headers, None
+        finally:
+            connection.close()
+
     def lines(self):
         with open(self.log_path, encoding="utf-8") as file:
             return [json.loads(line) for line in file if line.endswith("}\n")]
@@ -101,3 +126,11 @@
             return True
         time.sleep(0.02)
     return condition()
+
+
+def check_no_new_work(test, runner, ask):
+    """Requests that `ask` sends are served, and not by this runner."""
+    before = len(runner.requests)
+    for _ in range(10):
+        test.assertEqual(ask(), 200)
+    test.assertEqual(len(runner.requests), before)
--- a/tests/system/test_platform_fleet.py
+++ b/tests/system/test_platform_fleet.py
@@ -1,6 +1,5 @@
 """Several routers on the users' platform, of which one asks the store for all."""
 
-import http.client
 import os
 import sys
 import time
@@ -13,6 +12,7 @@
     KEY,
     REVOCATION_LIMIT,
     Router,
+    check_no_new_work,
     until,
 )
 from proxy import Proxy  # noqa: E402
@@ -42,17 +42,8 @@
 
     def ask(self, router, key=KEY):
         self.count += 1
-        headers = {
-            "Host": "a.example",
-            "X-Attempt-Id": f"attempt-{self.count}",
-            "X-Deadline-Ms": "1000",
-            "Authorization": f"Token {key}",
-        }
-        connection = http.client.HTTPConnection(router.ip, router.callers, timeout=8)
-        connection.request("GET", "/l/1", headers=headers)
-        status = connection.getresponse().status
-        connection.close()
-        return status
+        headers = {"X-Deadline-Ms": "1000"}
+        return router.ask(f"attempt-{self.count}", "/l/1", "GET", key, headers)[0]
 
     # Guards against a fleet whose calls to the store grow with its size, and against instances that
     # refuse all work although another one knows that nothing has changed.
@@ -84,10 +75,7 @@
         self.platform.put("servers", "i-d1", self.desk[0].entry("draining"))
         self.assertTrue(until(lambda: self.ask(self.second, "key-3") == 200, CONFIGURATION_LIMIT))
         time.sleep(DRAIN_LIMIT)
-        before = len(self.desk[0].requests)
-        for _ in range(10):
-            self.assertEqual(self.ask(self.second), 200)
-        self.assertEqual(len(self.desk[0].requests), before)
+        check_no_new_work(self, self.desk[0], lambda: self.ask(self.second))
 
     # Guards against a short outage of the store that only the router that asks has noticed, after
     # which all runners seem gone to the others.
@@ -108,10 +96,7 @@
         self.platform.configure(6, ["key-4"])
         self.assertTrue(until(lambda: self.ask(self.second, "key-4") == 200, CONFIGURATION_LIMIT))
         time.sleep(DRAIN_LIMIT)
-        before = len(self.desk[0].requests)
-        for _ in range(10):
-            self.assertEqual(self.ask(self.second, "key-4"), 200)
-        self.assertEqual(len(self.desk[0].requests), before)
+        check_no_new_work(self, self.desk[0], lambda: self.ask(self.second, "key-4"))
 
 
 if __name__ == "__main__":
--- a/tests/system/test_platform_path.py
+++ b/tests/system/test_platform_path.py
@@ -1,7 +1,6 @@
 """The router on the users' platform: the whole path against a stand-in of the platform."""
 
 import http.client
-import json
 import os
 import signal
 import socket
@@ -17,6 +16,7 @@
     KEY,
     REVOCATION_LIMIT,
     Router,
+    check_no_new_work,
     until,
 )
 from table_platform import Platform  # noqa: E402
@@ -34,26 +34,9 @@
         self.count = 0
 
     def ask(self, path, method="POST", key=KEY, headers=(), timeout=8):
-        """Status, headers and body; the body is None if the answer was not whole."""
+        """Status, headers and body of one more request."""
         self.count += 1
-        sent = {
-            "Host": "a.example",
-            "X-Attempt-Id": f"attempt-{self.count}",
-            "X-Deadline-Ms": "5000",
-            "X-Token-Usage": "1000,40",
-            "X-Prompt-Prefix": "a1:500,b2:500",
-        } | dict(headers)
-        if key:
-            sent["Authorization"] = f"Token {key}"
-        connection = http.client.HTTPConnection("127.0.0.1", self.router.callers, timeout=timeout)
-        connection.request(method, path, body=b"asked" if method == "POST" else None, headers=sent)
-        answer = connection.getresponse()
-        try:
-            return answer.status, answer.headers, answer.read()
-        except (http.client.IncompleteRead, ConnectionError):
-            return answer.status, answer.headers, None
-        finally:
-            connection.close()
+        return self.router.ask(self.attempt(), path, method, key, headers, timeout)
 
     def attempt(self):
         return f"attempt-{self.count}"
@@ -125,10 +108,7 @@
     def test_leaves_a_draining_runner_alone(self):
         self.platform.put("servers", "i-d1", self.desk[0].entry("draining"))
         time.sleep(DRAIN_LIMIT)
-        before = len(self.desk[0].requests)
-        for _ in range(10):
-            self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
-        self.assertEqual(len(self.desk[0].requests), before)
+        check_no_new_work(self, self.desk[0], lambda: self.ask("/l/1", method="GET")[0])
 
     # Guards against an outage of the store after which all runners seem gone.
     def test_keeps_runners_whose_entries_lapsed_with_the_store(self):
@@ -154,10 +134,7 @@
         time.sleep(2.3)
         self.platform.remove("servers", "i-d1")
         time.sleep(1)
-        before = len(self.desk[0].requests)
-        for _ in range(10):
-            self.assertEqual(self.ask("/l/1", method="GET")[0], 200)
-        self.assertEqual(len(self.desk[0].requests), before)
+        check_no_new_work(self, self.desk[0], lambda: self.ask("/l/1", method="GET")[0])
 
     # Guards against one bad entry that harms the others.
     def test_ignores_malformed_entries(self):
