Edge: One choice over the runners of all failure domains; changes of runners travel in the reports

On the grown site each failure domain read the shared parts of a prompt for itself: a router took runners of its own domain first, and three of four reports with what was read did not go to the other domains, where it was lost. And each change of a runner's entry cost one store call of each of 81 routers.

All runners are weighed together; what is used of a distant one is 0.85 of its slots and queue, because its load is known up to half a second late. What was read is told to the other domains in full, twice a second. The router that asks the store tells each step of the directory with the hashes of the content before and after; the others take a step that fits and ask the store 0.6 s after a change that they could not take.

--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -12,6 +12,7 @@
 #include "libraries/dispatch/crash_suspects.h"
 #include "libraries/dispatch/engine_model.h"
 #include "libraries/dispatch/prompt.h"
+#include "libraries/dispatch/runner_directory.h"
 #include "libraries/dispatch/table_proof.h"
 
 namespace pomelospar::dispatch {
@@ -43,6 +44,8 @@
   /// The configuration and the directory of runners as the sender knows them.
   std::optional<TableProof> policy;
   std::optional<TableProof> directory;
+  /// Steps of the directory that led to the sender's content, oldest first.
+  std::vector<DirectoryChange> directory_changes;
   /// When the store answered the sender again after an outage, by the store's clock. Entries that
   /// went missing about then may have lapsed with the store.
   std::optional<core::Duration> store_regained_at;
--- a/libraries/dispatch/placement.cc
+++ b/libraries/dispatch/placement.cc
@@ -28,7 +28,8 @@
 
 bool HasRoom(const EngineOption& option, const EngineRequest& request) {
   const double memory = option.load.memory_tokens + request.prompt_tokens + request.output_tokens;
-  return option.load.active < option.slots && memory <= option.memory_capacity * kMemoryShare;
+  return option.load.active < option.slots * option.usable_share &&
+         memory <= option.memory_capacity * kMemoryShare;
 }
 
 Rated Rate(const EngineSpeed& speed, const EngineOption& option, const EngineRequest& request,
@@ -63,9 +64,8 @@
     const auto rated = Rate(speed, option, request, index);
     const double repeated = ReadingMs(speed, most_cached - option.cached_tokens,
                                       request.prompt_tokens, option.load.active);
-    if (rated.placement.queue_ms > request.queue_limit_ms - kRepeatedReadingWeight * repeated) {
-      continue;
-    }
+    const double limit = request.queue_limit_ms * option.usable_share;
+    if (rated.placement.queue_ms > limit - kRepeatedReadingWeight * repeated) continue;
     auto& place = option.failure_share > kHighestFailureShare ? best_failing : best;
     if (rated.cost < place.cost) place = rated;
   }
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -22,6 +22,9 @@
   double expected_tokens = 0.0;
   double memory_capacity = 0.0;
   double slots = 0.0;
+  /// Share of the slots and of the accepted queue that may be used. Less than 1 for an engine whose
+  /// load is known late; the routers near it use the rest.
+  double usable_share = 1.0;
   bool other_domain = false;
 };
 
--- a/services/pomelospar_edge/blackboard.h
+++ b/services/pomelospar_edge/blackboard.h
@@ -83,16 +83,15 @@
   double unreported_tokens = 0.0;
   /// Called when much was sent since the last report.
   std::function<void()> on_much_unreported;
-  /// Prompts placed since the last report to the other routers.
+  /// Prompts placed since the last report to the routers of the own failure domain.
   std::vector<dispatch::PrefixRead> recent_reads;
   /// The directory of runners was read at least once.
   bool runners_known = false;
 
   dispatch::EngineSpeed engine_speed;
   dispatch::PeerView peers;
-  /// The fleet is so large that routers of other failure domains report seldom. Runners there are
-  /// used only if those of the own domain have no room.
-  bool own_domain_first = false;
+  /// The fleet is so large that routers of other failure domains report less often.
+  bool is_large = false;
   /// By workspace name.
   std::unordered_map<std::string, WorkspaceWindow> workspaces;
   /// Tokens that each workspace may receive in the share window before it is beyond its share.
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 #include <utility>
 
 #include "libraries/core/identifiers.h"
@@ -24,7 +25,7 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 // Beyond this many routers, reports are sent less often, and still less often to other failure
-// domains, so that a router of a fleet of 80 receives about 160 reports a second.
+// domains, so that a router of a fleet of 80 receives about 210 reports a second.
 constexpr std::size_t kFullExchange = 16;
 constexpr core::Duration kSmallFleetPeriod = milliseconds(80);
 // Work beyond this is reported at once, or else several routers would choose the same idle engine
@@ -32,7 +33,7 @@
 constexpr double kReportedAtOnceTokens = 1500.0;
 constexpr core::Duration kShortestPeriod = milliseconds(15);
 constexpr core::Duration kLargeFleetPeriod = milliseconds(250);
-constexpr std::uint64_t kReportsPerOtherDomain = 4;
+constexpr std::uint64_t kReportsPerOtherDomain = 2;
 // A router that was silent for so long is cut off or gone.
 constexpr core::Duration kReportLifetime = milliseconds(2200);
 
@@ -159,7 +160,7 @@
     if (!this->socket.is_open()) break;
     this->last_report = this->board.clock.now();
     this->board.unreported_tokens = 0.0;
-    this->board.own_domain_first = this->IsLarge();
+    this->board.is_large = this->IsLarge();
     const auto now = this->board.clock.now();
     const auto expired = this->board.peers.Expire(now, kReportLifetime);
     if (expired > 0) {
@@ -198,10 +199,27 @@
     this->board.recent_reads.clear();
     return;
   }
-  const auto datagram = SealReport(this->MakeReport(), this->key);
+  auto report = this->MakeReport();
+  auto datagram = SealReport(report, this->key);
+  this->Send(datagram, true);
+  if (!this->IsLarge()) {
+    this->Send(datagram, false);
+    return;
+  }
+  std::move(report.reads.begin(), report.reads.end(), std::back_inserter(this->distant_reads));
+  std::move(report.suspicions.begin(), report.suspicions.end(),
+            std::back_inserter(this->distant_suspicions));
+  if (this->sequence % kReportsPerOtherDomain != 0) return;
+  report.reads = std::exchange(this->distant_reads, {});
+  report.suspicions = std::exchange(this->distant_suspicions, {});
+  datagram = SealReport(report, this->key);
+  this->Send(datagram, false);
+}
+
+// To the routers of the own failure domain, or to those of the others.
+void PeerExchange::Send(std::string_view datagram, bool to_own_domain) {
   for (const auto& [name, peer] : this->addresses) {
-    const bool other_domain = peer.domain != this->board.settings.domain;
-    if (this->IsLarge() && other_domain && this->sequence % kReportsPerOtherDomain != 0) continue;
+    if ((peer.domain == this->board.settings.domain) != to_own_domain) continue;
     boost::system::error_code ignored;
     // A datagram that cannot be sent now is replaced by the next one.
     this->socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -59,6 +59,7 @@
   boost::asio::awaitable<void> ReceiveLoop();
   boost::asio::awaitable<void> SendLoop();
   void SendReports();
+  void Send(std::string_view datagram, bool to_own_domain);
   void Receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender);
   void NoteReads(const dispatch::PeerReport& report);
   dispatch::PeerReport MakeReport();
@@ -71,6 +72,9 @@
   std::string key;
   std::string previous_key;
   std::uint64_t sequence = 0;
+  /// Told in the own failure domain, not yet in the others.
+  std::vector<dispatch::PrefixRead> distant_reads;
+  std::vector<dispatch::Suspicion> distant_suspicions;
   core::TimePoint last_report{};
   /// The next report was moved to an earlier time.
   bool report_due = false;
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -4,15 +4,15 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 #include <vector>
 
+#include "services/pomelospar_edge/peer_report.pb.h"
+
 namespace pomelospar::edge {
 namespace {
 
-using Json = nlohmann::json;
-
 // A truncated HMAC-SHA-256 of 128 bits (RFC 2104, section 5).
 constexpr std::size_t kAuthenticatorBytes = 16;
 
@@ -24,102 +24,147 @@
   return {reinterpret_cast<const char*>(digest.data()), kAuthenticatorBytes};
 }
 
-std::optional<core::Duration> DecodeTime(const Json& json) {
-  if (json.is_null()) return std::nullopt;
-  return std::chrono::milliseconds(json.get<std::int64_t>());
+// Whole numbers take fewer bytes than fractions, and fractions of a token mean nothing.
+std::uint64_t Whole(double number) { return static_cast<std::uint64_t>(std::max(number, 0.0)); }
+
+std::int64_t FloorMilliseconds(core::Duration time) {
+  return std::chrono::floor<std::chrono::milliseconds>(time).count();
 }
 
-Json EncodeTime(const std::optional<core::Duration>& time) {
-  if (!time) return nullptr;
-  return std::chrono::floor<std::chrono::milliseconds>(*time).count();
+// The time is rounded down, so that the proof holds at it.
+void Encode(const dispatch::TableProof& proof, report::TableProof& message) {
+  message.set_state(proof.state);
+  message.set_at_ms(FloorMilliseconds(proof.at));
 }
 
-std::optional<dispatch::TableProof> DecodeProof(const Json& json) {
-  if (json.is_null()) return std::nullopt;
-  return dispatch::TableProof{json.at(0).get<std::uint64_t>(),
-                              std::chrono::milliseconds(json.at(1).get<std::int64_t>())};
+dispatch::TableProof Decode(const report::TableProof& message) {
+  return {message.state(), std::chrono::milliseconds(message.at_ms())};
 }
 
-// The time is rounded down, so that the proof holds at it.
-Json EncodeProof(const std::optional<dispatch::TableProof>& proof) {
-  if (!proof) return nullptr;
-  return {proof->state, EncodeTime(proof->at)};
+void Encode(const dispatch::PrefixRead& read, report::PrefixRead& message) {
+  message.set_runner(read.runner);
+  for (const auto& part : read.parts) {
+    message.add_part_ids(part.id);
+    message.add_part_tokens(Whole(part.tokens));
+  }
 }
 
-dispatch::PeerReport Decode(const Json& json) {
-  dispatch::PeerReport report;
-  report.sender = json.at(0).get<std::string>();
-  report.incarnation = json.at(1).get<std::uint64_t>();
-  report.sequence = json.at(2).get<std::uint64_t>();
-  for (const auto& entry : json.at(3)) {
-    report.runners[entry.at(0).get<std::uint64_t>()] = {
-        entry.at(1).get<double>(), entry.at(2).get<double>(), entry.at(3).get<double>()};
-  }
-  for (const auto& entry : json.at(4)) {
-    report.workspaces[entry.at(0).get<std::uint64_t>()] = {entry.at(1).get<double>(),
-                                                           entry.at(2).get<double>()};
-  }
-  for (const auto& entry : json.at(5)) {
-    dispatch::PrefixRead read;
-    read.runner = entry.at(0).get<std::uint64_t>();
-    for (std::size_t index = 1; index + 1 < entry.size(); index += 2) {
-      read.parts.push_back(
-          {entry.at(index).get<std::uint64_t>(), entry.at(index + 1).get<double>()});
+dispatch::PrefixRead Decode(const report::PrefixRead& message) {
+  dispatch::PrefixRead read = {.runner = message.runner()};
+  const int count = std::min(message.part_ids_size(), message.part_tokens_size());
+  for (int index = 0; index < count; ++index) {
+    read.parts.push_back(
+        {message.part_ids(index), static_cast<double>(message.part_tokens(index))});
+  }
+  return read;
+}
+
+void Encode(const dispatch::RunnerRecord& record, report::RunnerRecord& message) {
+  message.set_upstream(record.upstream);
+  message.set_address(record.address);
+  message.set_domain(record.domain);
+  message.set_slots(record.slots);
+  message.set_draining(record.draining);
+  message.set_started_unix_ms(record.started_unix_ms);
+}
+
+void Encode(const dispatch::DirectoryChange& change, report::DirectoryChange& message) {
+  message.set_before(change.before);
+  message.set_after(change.after);
+  for (const auto& entry : change.entries) {
+    auto* encoded = message.add_entries();
+    encoded->set_id(entry.id);
+    if (entry.record) Encode(*entry.record, *encoded->mutable_record());
+  }
+}
+
+dispatch::DirectoryChange Decode(const report::DirectoryChange& message) {
+  dispatch::DirectoryChange change = {.before = message.before(), .after = message.after()};
+  for (const auto& entry : message.entries()) {
+    dispatch::RunnerChange decoded = {.id = entry.id()};
+    if (entry.has_record()) {
+      const auto& record = entry.record();
+      decoded.record = dispatch::RunnerRecord{.id = entry.id(),
+                                              .upstream = record.upstream(),
+                                              .address = record.address(),
+                                              .domain = record.domain(),
+                                              .slots = record.slots(),
+                                              .draining = record.draining(),
+                                              .started_unix_ms = record.started_unix_ms()};
     }
-    report.reads.push_back(std::move(read));
+    change.entries.push_back(std::move(decoded));
+  }
+  return change;
+}
+
+dispatch::PeerReport Decode(const report::Report& message) {
+  dispatch::PeerReport report;
+  report.sender = message.sender();
+  report.domain = message.domain();
+  report.incarnation = message.incarnation();
+  report.sequence = message.sequence();
+  report.runners.reserve(static_cast<std::size_t>(message.runners_size()));
+  for (const auto& load : message.runners()) {
+    report.runners[load.runner()] = {.unread_tokens = static_cast<double>(load.unread()),
+                                     .active = static_cast<double>(load.active()),
+                                     .memory_tokens = static_cast<double>(load.memory())};
+  }
+  report.workspaces.reserve(static_cast<std::size_t>(message.workspaces_size()));
+  for (const auto& usage : message.workspaces()) {
+    report.workspaces[usage.workspace()] = {.asked = static_cast<double>(usage.asked()),
+                                            .served = static_cast<double>(usage.served())};
+  }
+  for (const auto& read : message.reads()) report.reads.push_back(Decode(read));
+  for (const auto& suspicion : message.suspicions()) {
+    report.suspicions.push_back({suspicion.request(), suspicion.crash()});
   }
-  for (const auto& entry : json.at(6)) {
-    report.suspicions.push_back(
-        {entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint64_t>()});
+  if (message.has_policy()) report.policy = Decode(message.policy());
+  if (message.has_directory()) report.directory = Decode(message.directory());
+  if (message.has_store_regained_at_ms()) {
+    report.store_regained_at = std::chrono::milliseconds(message.store_regained_at_ms());
+  }
+  for (const auto& change : message.directory_changes()) {
+    report.directory_changes.push_back(Decode(change));
   }
-  report.domain = json.at(7).get<std::string>();
-  report.policy = DecodeProof(json.at(8));
-  report.directory = DecodeProof(json.at(9));
-  report.store_regained_at = DecodeTime(json.at(10));
   return report;
 }
 
-// Whole numbers take fewer bytes than fractions, and fractions of a token mean nothing.
-std::int64_t Whole(double number) { return static_cast<std::int64_t>(number); }
-
 }  // namespace
 
 std::string SealReport(const dispatch::PeerReport& report, std::string_view key) {
-  auto runners = Json::array();
+  report::Report message;
+  message.set_sender(report.sender);
+  message.set_domain(report.domain);
+  message.set_incarnation(report.incarnation);
+  message.set_sequence(report.sequence);
   for (const auto& [runner, load] : report.runners) {
-    runners.push_back(
-        {runner, Whole(load.unread_tokens), Whole(load.active), Whole(load.memory_tokens)});
+    auto* encoded = message.add_runners();
+    encoded->set_runner(runner);
+    encoded->set_unread(Whole(load.unread_tokens));
+    encoded->set_active(Whole(load.active));
+    encoded->set_memory(Whole(load.memory_tokens));
   }
-  auto workspaces = Json::array();
   for (const auto& [workspace, usage] : report.workspaces) {
-    workspaces.push_back({workspace, Whole(usage.asked), Whole(usage.served)});
-  }
-  auto reads = Json::array();
-  for (const auto& read : report.reads) {
-    Json entry = {read.runner};
-    for (const auto& part : read.parts) {
-      entry.push_back(part.id);
-      entry.push_back(Whole(part.tokens));
-    }
-    reads.push_back(std::move(entry));
+    auto* encoded = message.add_workspaces();
+    encoded->set_workspace(workspace);
+    encoded->set_asked(Whole(usage.asked));
+    encoded->set_served(Whole(usage.served));
   }
-  auto suspicions = Json::array();
+  for (const auto& read : report.reads) Encode(read, *message.add_reads());
   for (const auto& suspicion : report.suspicions) {
-    suspicions.push_back({suspicion.request, suspicion.crash});
-  }
-  const Json json = {report.sender,
-                     report.incarnation,
-                     report.sequence,
-                     std::move(runners),
-                     std::move(workspaces),
-                     std::move(reads),
-                     std::move(suspicions),
-                     report.domain,
-                     EncodeProof(report.policy),
-                     EncodeProof(report.directory),
-                     EncodeTime(report.store_regained_at)};
-  std::string payload;
-  Json::to_cbor(json, payload);
+    auto* encoded = message.add_suspicions();
+    encoded->set_request(suspicion.request);
+    encoded->set_crash(suspicion.crash);
+  }
+  if (report.policy) Encode(*report.policy, *message.mutable_policy());
+  if (report.directory) Encode(*report.directory, *message.mutable_directory());
+  if (report.store_regained_at) {
+    message.set_store_regained_at_ms(FloorMilliseconds(*report.store_regained_at));
+  }
+  for (const auto& change : report.directory_changes) {
+    Encode(change, *message.add_directory_changes());
+  }
+  const auto payload = message.SerializeAsString();
   return Authenticator(payload, key) + payload;
 }
 
@@ -133,11 +178,11 @@
     return core::MakeError(core::ErrorKind::kUnauthorized,
                            "the datagram was not sealed with the key of this fleet");
   }
-  try {
-    return Decode(Json::from_cbor(payload));
-  } catch (const Json::exception& error) {
-    return core::MakeError(core::ErrorKind::kMalformed, error.what());
+  report::Report message;
+  if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+    return core::MakeError(core::ErrorKind::kMalformed, "the datagram is not a report");
   }
+  return Decode(message);
 }
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/peer_message.h
+++ b/services/pomelospar_edge/peer_message.h
@@ -9,7 +9,7 @@
 
 namespace pomelospar::edge {
 
-/// A datagram of the report (CBOR) with a keyed authenticator in front.
+/// A datagram of the report (see peer_report.proto) with a keyed authenticator in front.
 std::string SealReport(const dispatch::PeerReport& report, std::string_view key);
 
 /// Errors: `kUnauthorized` if the authenticator does not match the key, `kMalformed`.
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -13,23 +13,19 @@
 
 // A runner that keeps this share of the shared parts saves most of the reading.
 constexpr double kKeptShare = 0.9;
-// Runners of other failure domains that are looked at for one request.
-constexpr std::size_t kSampledRunners = 12;
-// Share of the slots and the queue that is used of a runner whose load was reported up to a second
-// ago; the other routers there use the rest.
-constexpr double kOldViewShare = 0.7;
+// Share of the slots and the queue that is used of a runner whose load was reported up to half a
+// second ago; the other routers there use the rest.
+constexpr double kOldViewShare = 0.85;
 
 }  // namespace
 
-std::vector<Runner*> RequestSession::Candidates(Reach reach) const {
+std::vector<Runner*> RequestSession::Candidates() const {
   std::vector<Runner*> candidates;
   const auto found = this->board.runners_by_upstream.find(this->upstream->name);
   if (found == this->board.runners_by_upstream.end()) return candidates;
   const auto now = this->board.clock.now();
   candidates.reserve(found->second.size());
   for (const auto& runner : found->second) {
-    const bool own = runner->record.domain == this->board.settings.domain;
-    if ((reach == Reach::kOwnDomain && !own) || (reach == Reach::kOtherDomains && own)) continue;
     if (!TakesNewWork(*runner) || !runner->health.IsUsable(now)) continue;
     if (std::find(this->tried.begin(), this->tried.end(), runner->record.id) != this->tried.end()) {
       continue;
@@ -39,46 +35,26 @@
   return candidates;
 }
 
-// A few of the candidates, other ones for each request, so that routers with the same old view do
-// not all choose the same runner.
-std::vector<Runner*> RequestSession::Sample(std::vector<Runner*> candidates) const {
-  if (candidates.size() <= kSampledRunners) return candidates;
-  const auto seed = core::HashName(this->facts.attempt_id);
-  std::nth_element(candidates.begin(), candidates.begin() + kSampledRunners, candidates.end(),
-                   [&](const Runner* left, const Runner* right) {
-                     return core::CombineHashes(seed, left->key) <
-                            core::CombineHashes(seed, right->key);
-                   });
-  candidates.resize(kSampledRunners);
-  return candidates;
-}
-
 bool RequestSession::TryPlace() {
-  if (!this->upstream->engine) return this->PlaceService();
-  const auto& limits = *this->upstream->engine;
-  if (!this->board.own_domain_first) {
-    return this->PlaceEngine(limits, this->Candidates(Reach::kAll), 1.0);
-  }
-  if (this->PlaceEngine(limits, this->Candidates(Reach::kOwnDomain), 1.0)) return true;
-  return this->PlaceEngine(limits, this->Sample(this->Candidates(Reach::kOtherDomains)),
-                           kOldViewShare);
+  return this->upstream->engine ? this->PlaceEngine(*this->upstream->engine) : this->PlaceService();
 }
 
 std::vector<dispatch::EngineOption> RequestSession::DescribeEngines(
-    const dispatch::EngineLimits& limits, const std::vector<Runner*>& candidates,
-    double share) const {
+    const dispatch::EngineLimits& limits, const std::vector<Runner*>& candidates) const {
   const auto now = this->board.clock.now();
   const double slot_share = dispatch::SlotShare(this->standing);
   std::vector<dispatch::EngineOption> options;
   options.reserve(candidates.size());
   for (const auto* runner : candidates) {
+    const bool other_domain = runner->record.domain != this->board.settings.domain;
     options.push_back({.load = FleetLoad(this->board, *runner),
                        .slowdown = runner->health.slowdown(now),
                        .failure_share = runner->health.failure_share(now),
                        .cached_tokens = runner->prefixes.CachedTokens(this->facts.prompt.parts),
                        .memory_capacity = limits.memory_tokens,
-                       .slots = static_cast<double>(runner->record.slots) * share * slot_share,
-                       .other_domain = runner->record.domain != this->board.settings.domain});
+                       .slots = static_cast<double>(runner->record.slots) * slot_share,
+                       .usable_share = other_domain && this->board.is_large ? kOldViewShare : 1.0,
+                       .other_domain = other_domain});
   }
   return options;
 }
@@ -103,24 +79,21 @@
   options[static_cast<std::size_t>(common - candidates.begin())].expected_tokens = shared;
 }
 
-// `share` of the slots and of the accepted queue are used, for runners whose load is known late.
-bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits,
-                                 const std::vector<Runner*>& candidates, double share) {
+bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits) {
+  const auto candidates = this->Candidates();
   if (candidates.empty()) return false;
   const auto now = this->board.clock.now();
   const auto& prompt = this->facts.prompt;
   this->standing.share_use = ShareUse(this->board, this->workspace, this->share_tokens);
-  auto options = this->DescribeEngines(limits, candidates, share);
+  auto options = this->DescribeEngines(limits, candidates);
   this->PreferCommonEngine(candidates, options);
   const auto& speed = this->board.engine_speed;
   const double reading = dispatch::ReadingMs(speed, prompt.input_tokens, prompt.input_tokens, 0.0);
   const dispatch::EngineRequest request = {
       .prompt_tokens = prompt.input_tokens,
       .output_tokens = dispatch::ExpectedOutputTokens(prompt),
-      .queue_limit_ms =
-          dispatch::AcceptedQueueMs(speed, ToMilliseconds(this->upstream->tightest_objective),
-                                    reading, this->standing) *
-          share};
+      .queue_limit_ms = dispatch::AcceptedQueueMs(
+          speed, ToMilliseconds(this->upstream->tightest_objective), reading, this->standing)};
   const auto placement = dispatch::PlaceAtEngine(speed, options, request);
   if (!placement) return false;
   auto* runner = candidates[placement->option];
@@ -148,7 +121,7 @@
 bool RequestSession::PlaceService() {
   // A plain service queues a few requests beyond its slots.
   constexpr double kQueueFactor = 2.0;
-  const auto candidates = this->Candidates(Reach::kAll);
+  const auto candidates = this->Candidates();
   const auto now = this->board.clock.now();
   std::vector<dispatch::ServiceOption> options;
   options.reserve(candidates.size());
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -53,8 +53,6 @@
     core::Duration retry_after{};
   };
   enum class Step { kTryAgain, kEnd };
-  /// Failure domains whose runners are considered.
-  enum class Reach { kAll, kOwnDomain, kOtherDomains };
 
   // Admission.
   std::optional<Refusal> Admit();
@@ -68,16 +66,13 @@
   // Placement, in request_placement.cc.
   boost::asio::awaitable<bool> WaitForRunner();
   bool TryPlace();
-  bool PlaceEngine(const dispatch::EngineLimits& limits, const std::vector<Runner*>& candidates,
-                   double share);
+  bool PlaceEngine(const dispatch::EngineLimits& limits);
   bool PlaceService();
-  std::vector<Runner*> Candidates(Reach reach) const;
+  std::vector<Runner*> Candidates() const;
   std::vector<dispatch::EngineOption> DescribeEngines(const dispatch::EngineLimits& limits,
-                                                      const std::vector<Runner*>& candidates,
-                                                      double share) const;
+                                                      const std::vector<Runner*>& candidates) const;
   void PreferCommonEngine(const std::vector<Runner*>& candidates,
                           std::vector<dispatch::EngineOption>& options) const;
-  std::vector<Runner*> Sample(std::vector<Runner*> candidates) const;
   Refusal NoRoom() const;
 
   // One try, in runner_attempt.cc.
--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -40,11 +40,14 @@
 asio::awaitable<void> StoreSync::WaitUntilDue(Watch& watch) {
   while (true) {
     const auto rank = this->NoteRole();
-    if (watch.outdated) break;
-    const auto limit = dispatch::AskAge(watch.schedule, rank);
     const auto age = this->board.clock.since_boot() - watch.proven_at;
-    if (age >= limit) break;
-    watch.timer.expires_after(std::min<core::Duration>(limit - age, kRoleCheck));
+    auto left = dispatch::AskAge(watch.schedule, rank) - age;
+    if (watch.outdated_since) {
+      const auto outdated_for = this->board.clock.now() - *watch.outdated_since;
+      left = std::min<core::Duration>(left, watch.relay_time - outdated_for);
+    }
+    if (left <= core::Duration::zero()) break;
+    watch.timer.expires_after(std::min<core::Duration>(left, kRoleCheck));
     co_await watch.timer.async_wait(kTuple);
   }
 }
@@ -62,9 +65,25 @@
     this->board.policy_proven_at = std::max(this->board.policy_proven_at, *at);
   }
   if (report.store_regained_at) this->NoteRegained(*report.store_regained_at);
+  this->TakeDirectoryChanges(report);
   this->TakeProof(this->runner_watch, report.directory, report.sender);
 }
 
+void StoreSync::TakeDirectoryChanges(const dispatch::PeerReport& report) {
+  auto& proof = this->runner_watch.proof;
+  // An old report, or one of which all steps are known, could lead back to what the directory was.
+  if (dispatch::Judge(proof, report.directory) != dispatch::ProofEffect::kOutdates) return;
+  bool changed = false;
+  for (const auto& step : report.directory_changes) {
+    if (!this->directory.Fits(step)) continue;
+    for (const auto& entry : step.entries) this->ApplyRunner(entry, report.sender);
+    this->directory_changes.Note(this->board.clock.now(), step);
+    proof->state = step.after;
+    changed = true;
+  }
+  if (changed) IndexRunners(this->board);
+}
+
 // An outage may end before this router asks.
 void StoreSync::NoteRegained(core::Duration stamp) {
   const auto local = this->store_clock.EarliestLocal(stamp);
@@ -83,11 +102,12 @@
     const auto at = this->store_clock.EarliestLocal(proof->at);
     if (!at) return std::nullopt;
     watch.proof = proof;
+    watch.outdated_since.reset();
     watch.proven_at = std::max(watch.proven_at, *at);
     return at;
   }
-  if (!watch.outdated) {
-    watch.outdated = true;
+  if (!watch.outdated_since) {
+    watch.outdated_since = this->board.clock.now();
     this->board.log.Write(LogLevel::kInfo, "table_changed",
                           {{"table", watch.table}, {"peer", sender}, {"state", proof->state}});
     watch.timer.cancel();
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -41,6 +41,8 @@
     .wait = milliseconds(300), .longest_age = milliseconds(1200), .step = milliseconds(100)};
 // Runners write several times a second together.
 constexpr core::Duration kRunnerPause = milliseconds(200);
+// Two reports of a large fleet and what delays them: then this router has missed a step and asks.
+constexpr core::Duration kDirectoryRelayTime = milliseconds(600);
 // At the start of a fleet, entries change all the time.
 constexpr core::Duration kRunnerFollowerPause = milliseconds(1000);
 constexpr core::Duration kPolicyPause = milliseconds(50);
@@ -89,6 +91,7 @@
   this->runner_watch.relayed = true;
   this->runner_watch.pause = kRunnerPause;
   this->runner_watch.follower_pause = kRunnerFollowerPause;
+  this->runner_watch.relay_time = kDirectoryRelayTime;
   this->runner_watch.apply = [this](const auto& rows, bool whole, core::Duration asked_at) {
     this->ApplyRunners(rows, whole, asked_at);
   };
@@ -100,6 +103,9 @@
     report.policy = this->policy_watch.proof;
     report.directory = this->runner_watch.proof;
     report.store_regained_at = this->runner_watch.regained_stamp;
+    if (this->is_first.value_or(false)) {
+      report.directory_changes = this->directory_changes.Recent(this->board.clock.now());
+    }
   };
   this->peers.on_report = [this](const auto& report) { this->OnReport(report); };
 }
@@ -148,7 +154,7 @@
 }
 
 void StoreSync::NoteAnswer(Watch& watch, const adapter::StoreRows& rows, core::Duration asked_at) {
-  watch.outdated = false;
+  watch.outdated_since.reset();
   watch.proven_at = std::max(watch.proven_at, asked_at);
   if (rows.stamp) {
     this->store_clock.Note(asked_at, this->board.clock.since_boot(), *rows.stamp);
@@ -216,68 +222,78 @@
   this->board.policy_proven_at = std::max(this->board.policy_proven_at, asked_at);
 }
 
+dispatch::RunnerChange StoreSync::DecodeRunnerRow(const adapter::StoreRow& row) {
+  dispatch::RunnerChange change = {.id = row.key};
+  if (row.removed) return change;
+  auto record = adapter::DecodeRunner(row.key, row.value);
+  if (record) {
+    change.record = std::move(record.value());
+  } else {
+    this->board.log.Write(LogLevel::kWarning, "runner_entry_malformed",
+                          {{"runner", row.key}, {"error", record.error().message}});
+  }
+  return change;
+}
+
 void StoreSync::ApplyRunners(const adapter::StoreRows& rows, bool whole, core::Duration asked_at) {
+  dispatch::DirectoryChange step;
+  step.before = this->directory.state();
+  const auto apply = [&](dispatch::RunnerChange change) {
+    if (this->ApplyRunner(change, "store")) step.entries.push_back(std::move(change));
+  };
   if (whole) {
-    this->listed_runners.clear();
     std::set<std::string> listed;
     for (const auto& row : rows.rows) listed.insert(row.key);
-    std::vector<std::string> missing;
+    for (const auto& id : this->directory.MissingFrom(listed)) apply({.id = id});
+    std::vector<std::string> lapsed;
     for (const auto& [id, runner] : this->board.runners) {
-      if (listed.count(id) == 0) missing.push_back(id);
-    }
-    for (const auto& id : missing) this->MissRunner(id);
-  }
-  for (const auto& row : rows.rows) {
-    if (row.removed) {
-      this->listed_runners.erase(row.key);
-      this->MissRunner(row.key);
-    } else {
-      this->ApplyRunner(row);
+      if (!listed.contains(id)) lapsed.push_back(id);
     }
+    for (const auto& id : lapsed) this->MissRunner(id);
   }
+  for (const auto& row : rows.rows) apply(this->DecodeRunnerRow(row));
   IndexRunners(this->board);
   this->board.runners_known = true;
-  std::uint64_t state = 0;
-  for (const auto& [id, hash] : this->listed_runners) state = core::CombineHashes(state, hash);
-  this->SetProof(this->runner_watch, state, asked_at);
+  step.after = this->directory.state();
+  this->SetProof(this->runner_watch, step.after, asked_at);
+  this->directory_changes.Note(this->board.clock.now(), std::move(step));
 }
 
-void StoreSync::ApplyRunner(const adapter::StoreRow& row) {
-  auto record = adapter::DecodeRunner(row.key, row.value);
-  if (!record) {
-    this->board.log.Write(LogLevel::kWarning, "runner_entry_malformed",
-                          {{"runner", row.key}, {"error", record.error().message}});
-    this->listed_runners.erase(row.key);
-    this->RemoveRunner(row.key, "malformed entry");
-    return;
+// False if the directory held the same already.
+bool StoreSync::ApplyRunner(const dispatch::RunnerChange& change, std::string_view source) {
+  const bool is_new = this->directory.Apply(change);
+  if (!change.record) {
+    this->MissRunner(change.id);
+    return is_new;
   }
-  this->listed_runners[row.key] = dispatch::HashOf(record.value());
-  auto& runner = this->board.runners[row.key];
+  const auto& record = *change.record;
+  auto& runner = this->board.runners[change.id];
   const bool known = runner != nullptr;
   if (!known) {
     runner = std::make_shared<Runner>();
-    runner->key = core::HashName(row.key);
+    runner->key = core::HashName(change.id);
     this->board.runners_by_key[runner->key] = runner;
   }
   runner->removal_due.reset();
-  if (known && runner->record == record.value()) return;
-  const bool restarted = known && runner->record.started_unix_ms != record.value().started_unix_ms;
+  if (known && runner->record == record) return is_new;
+  const bool restarted = known && runner->record.started_unix_ms != record.started_unix_ms;
   if (restarted) {
     runner->prefixes.Clear();
     runner->health = {};
   }
-  if (known && runner->record.address != record.value().address) {
+  if (known && runner->record.address != record.address) {
     this->pool.Forget(runner->record.address);
   }
-  runner->record = std::move(record.value());
+  runner->record = record;
   this->board.log.Write(LogLevel::kInfo, "runner",
-                        {{"runner", row.key},
-                         {"upstream", runner->record.upstream},
-                         {"address", runner->record.address},
-                         {"domain", runner->record.domain},
-                         {"draining", runner->record.draining},
+                        {{"runner", change.id},
+                         {"upstream", record.upstream},
+                         {"address", record.address},
+                         {"domain", record.domain},
+                         {"draining", record.draining},
                          {"restarted", restarted},
-                         {"row_version", row.version}});
+                         {"source", source}});
+  return is_new;
 }
 
 void StoreSync::MissRunner(const std::string& id) {
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "libraries/dispatch/remote_clock.h"
+#include "libraries/dispatch/runner_directory.h"
 #include "libraries/dispatch/table_proof.h"
 #include "libraries/http/upstream_pool.h"
 #include "platform/store_client.h"
@@ -52,8 +53,10 @@
     std::optional<dispatch::TableProof> proof;
     /// Local time since boot of the latest answer or proof.
     core::Duration proven_at{};
-    /// Another router has a newer content.
-    bool outdated = false;
+    /// Since when this router knows that another one has a newer content.
+    std::optional<core::TimePoint> outdated_since;
+    /// How long the other routers may take to tell what has changed before this one asks.
+    core::Duration relay_time{};
     /// Ends when the store may have to be asked.
     boost::asio::steady_timer timer;
     /// When the store answered again after a failure.
@@ -84,7 +87,10 @@
 
   void ApplyPolicy(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   void ApplyRunners(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
-  void ApplyRunner(const adapter::StoreRow& row);
+  dispatch::RunnerChange DecodeRunnerRow(const adapter::StoreRow& row);
+  bool ApplyRunner(const dispatch::RunnerChange& change, std::string_view source);
+  /// Takes the steps that lead from what this router knows to what the sender of the report knows.
+  void TakeDirectoryChanges(const dispatch::PeerReport& report);
   /// Call `IndexRunners` after the last one.
   void RemoveRunner(const std::string& id, std::string_view reason);
   void MissRunner(const std::string& id);
@@ -100,8 +106,10 @@
   Watch runner_watch;
   Watch router_watch;
   dispatch::RemoteClock store_clock;
-  /// Hashes of the entries of runners as the store lists them, by identifier.
-  std::map<std::string, std::uint64_t> listed_runners;
+  /// The entries of runners as the store lists them, also those that lapsed during an outage.
+  dispatch::RunnerDirectory directory;
+  /// What this router tells the others while it asks the store for them.
+  dispatch::DirectoryChanges directory_changes;
   /// Until then this router may not have heard of the others.
   core::TimePoint peers_known_at{};
   /// This router asks the store all the time.
--- a/tests/libraries/dispatch/placement_test.cc
+++ b/tests/libraries/dispatch/placement_test.cc
@@ -40,6 +40,32 @@
   EXPECT_EQ(placement->option, 0U);
 }
 
+// Guards against shared parts that are read once in each failure domain of a large fleet: the way
+// to another domain costs far less than reading them.
+TEST(PlaceAtEngineTest, PrefersAnEngineOfAnotherDomainThatKeepsThePrefix) {
+  std::vector<EngineOption> options = {IdleEngine(), IdleEngine()};
+  options[1].cached_tokens = 5'400.0;
+  options[1].other_domain = true;
+  options[1].usable_share = 0.85;
+  EXPECT_EQ(PlaceAtEngine({}, options, Draft())->option, 1U);
+}
+
+// Guards against routers of several domains that fill the last slots of an engine and the end of
+// its queue at the same time, because each knows late what the others have sent.
+TEST(PlaceAtEngineTest, LeavesTheLastRoomOfADistantEngineToItsOwnDomain) {
+  std::vector<EngineOption> options = {IdleEngine()};
+  options[0].usable_share = 0.85;
+  options[0].load.active = 108.0;
+  EXPECT_TRUE(PlaceAtEngine({}, options, Draft()).has_value());
+  options[0].load.active = 109.0;
+  EXPECT_FALSE(PlaceAtEngine({}, options, Draft()).has_value());
+  options[0].load = {.unread_tokens = 30'000.0};
+  options[0].usable_share = 1.0;
+  EXPECT_TRUE(PlaceAtEngine({}, options, Draft()).has_value());
+  options[0].usable_share = 0.5;
+  EXPECT_FALSE(PlaceAtEngine({}, options, Draft()).has_value());
+}
+
 // Replays the worst load: all engines are busy. Guards against shared parts that are read again in
 // place of other requests: such an engine is used at a shorter queue only.
 TEST(PlaceAtEngineTest, ReadsKeptPartsAgainOnlyWhereTheQueueIsShort) {
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -82,6 +82,30 @@
   EXPECT_EQ(opened.value().directory->at, std::chrono::milliseconds(-1));
 }
 
+// Guards against an entry that is gone and arrives as one that is there, or the other way round.
+TEST(PeerMessageTest, CarriesStepsOfTheDirectory) {
+  auto report = Report();
+  const dispatch::RunnerRecord record = {.id = "i-1",
+                                         .upstream = "pool",
+                                         .address = "10.1.0.1:80",
+                                         .domain = "a",
+                                         .slots = 12,
+                                         .draining = true,
+                                         .started_unix_ms = 1700000000123};
+  report.directory_changes.push_back(
+      {.before = 1, .after = ~0ULL, .entries = {{.id = "i-1", .record = record}, {.id = "i-2"}}});
+  const auto opened = OpenReport(SealReport(report, "key"), "key");
+  ASSERT_TRUE(opened.has_value());
+  ASSERT_EQ(opened.value().directory_changes.size(), 1U);
+  const auto& change = opened.value().directory_changes[0];
+  EXPECT_EQ(change.before, 1U);
+  EXPECT_EQ(change.after, ~0ULL);
+  ASSERT_EQ(change.entries.size(), 2U);
+  EXPECT_EQ(change.entries[0].record, record);
+  EXPECT_EQ(change.entries[1].id, "i-2");
+  EXPECT_FALSE(change.entries[1].record.has_value());
+}
+
 // Guards against reports of another fleet, and against changed or random datagrams.
 TEST(PeerMessageTest, RefusesAnotherKey) {
   EXPECT_FALSE(OpenReport(SealReport(Report(), "key"), "other").has_value());
--- a/tests/system/test_platform_fleet.py
+++ b/tests/system/test_platform_fleet.py
@@ -77,6 +77,19 @@
         time.sleep(DRAIN_LIMIT)
         check_no_new_work(self, self.desk[0], lambda: self.ask(self.second))
 
+    # Guards against a release of many runners that costs a call of each router for each entry, and
+    # against an instance cut off from the store that does not hear of runners that leave.
+    def test_changes_of_runners_need_no_call_of_the_others(self):
+        self.path.disturb("silent")
+        self.platform.put("servers", "i-d1", self.desk[0].entry("draining"))
+        time.sleep(DRAIN_LIMIT)
+        check_no_new_work(self, self.desk[0], lambda: self.ask(self.second))
+        third = self.platform.add_runner("i-d3", "desk")
+        self.platform.remove("servers", "i-d2")
+        time.sleep(DRAIN_LIMIT)
+        check_no_new_work(self, self.desk[1], lambda: self.ask(self.second))
+        self.assertGreater(len(third.requests), 0)
+
     # Guards against a short outage of the store that only the router that asks has noticed, after
     # which all runners seem gone to the others.
     def test_entries_that_lapsed_with_the_store_are_kept_by_all(self):
