Edge: Accept no connection while accepted work is late

One caller sends several times what a router of 0.12 core serves, and all its connections lead to it.

No connection is accepted while a turn takes over 50 ms: it costs nothing unread, its caller turns to another router, and what was accepted is served. A turn so long that no timer fires counts at once. The router is not ready from a mean lateness of 25 ms on (40 before). A caller that has left is looked for before the request is placed.

--- a/libraries/dispatch/processor_load.cc
+++ b/libraries/dispatch/processor_load.cc
@@ -12,26 +12,39 @@
 // done in time, so single late timers say nothing; their mean over about 10 periods does.
 constexpr double kToleratedMs = 20.0;
 constexpr double kOverloadedMs = 120.0;
-// New connections are led elsewhere before the open ones take all of the processor.
-constexpr double kBusyMs = 40.0;
+// How long a core with a quota may stand still.
+constexpr double kQuotaPauseMs = 90.0;
+// New connections are led elsewhere before the open ones take all of the processor: a request takes
+// several turns of the event loop, and each is as late as the timer.
+constexpr double kBusyMs = 25.0;
 // The platform needs two seconds to lead a caller to the next instance. For so long it does not
 // come back, so that its connections spread over five instances.
 constexpr core::Duration kOverloadMemory = std::chrono::seconds(10);
 constexpr double kLargestShare = 0.95;
+// A request takes about five turns of the event loop until it is sent to a runner; with turns of
+// this length that is half of a usual objective of 500 ms.
+constexpr double kLateToAcceptMs = 50.0;
 
 }  // namespace
 
 void ProcessorLoad::OnTimer(core::TimePoint now, core::Duration lateness) {
   const double late = core::ToMilliseconds(lateness);
+  this->last_lateness_ms = late;
   this->mean_lateness_ms += kWeight * (late - this->mean_lateness_ms);
   if (this->mean_lateness_ms > kBusyMs) this->overloaded_until = now + kOverloadMemory;
 }
 
 bool ProcessorLoad::IsOverloaded(core::TimePoint now) const { return now < this->overloaded_until; }
 
-double ProcessorLoad::refused_share() const {
-  const double beyond = (this->mean_lateness_ms - kToleratedMs) / (kOverloadedMs - kToleratedMs);
+double ProcessorLoad::RefusedShare(core::Duration overdue) const {
+  const double late =
+      std::max(this->mean_lateness_ms, core::ToMilliseconds(overdue) - kQuotaPauseMs);
+  const double beyond = (late - kToleratedMs) / (kOverloadedMs - kToleratedMs);
   return std::clamp(beyond, 0.0, 1.0) * kLargestShare;
 }
 
+bool ProcessorLoad::MayAccept(core::Duration overdue) const {
+  return std::max(this->last_lateness_ms, core::ToMilliseconds(overdue)) <= kLateToAcceptMs;
+}
+
 }  // namespace pomelospar::dispatch
--- a/libraries/dispatch/processor_load.h
+++ b/libraries/dispatch/processor_load.h
@@ -16,12 +16,18 @@
   /// True while callers should be led to other instances: from an overload until some seconds
   /// after.
   bool IsOverloaded(core::TimePoint now) const;
-  /// Share of new requests to turn away, from 0 to 1.
-  double refused_share() const;
+  /// Share of new requests to turn away, from 0 to 1, while the timer is overdue by `overdue` (zero
+  /// or less if it is not due yet).
+  double RefusedShare(core::Duration overdue) const;
+  /// False while work that was accepted is late: more of it would only wait here, and refusing it
+  /// would take processor time from what can be served. A connection that waits unread costs
+  /// nothing, and its caller turns to another router.
+  bool MayAccept(core::Duration overdue) const;
   double lateness_ms() const { return this->mean_lateness_ms; }
 
  private:
   double mean_lateness_ms = 0.0;
+  double last_lateness_ms = 0.0;
   core::TimePoint overloaded_until{};
 };
 
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -27,7 +27,9 @@
 /// Connections beyond the limit that get a 503 at the same time; further ones are closed at once.
 constexpr std::size_t kRefusedAtOnce = 100;
 /// Connections accepted in one turn of the event loop, so that requests in progress go on.
-constexpr std::size_t kAcceptedAtOnce = 64;
+constexpr std::size_t kAcceptedAtOnce = 16;
+/// How soon a server whose connections have to wait looks again.
+constexpr auto kMayAcceptPeriod = std::chrono::milliseconds(20);
 
 std::string RemoteAddress(const tcp::socket& socket) {
   boost::system::error_code error;
@@ -68,12 +70,15 @@
                    [connection](const std::exception_ptr&) {});
   }
 
+  bool MayAccept() const { return !this->options.may_accept || this->options.may_accept(); }
+
   /// Accepts connections that already wait, up to `most`. Without this each turn of the event loop
   /// accepts one, and under load new callers wait until they give up.
   void AcceptQueued(std::size_t most) {
     boost::system::error_code error;
     this->acceptor.non_blocking(true, error);
     for (std::size_t count = 0; !error && count < most; ++count) {
+      if (!this->server->stopping && !this->MayAccept()) break;
       tcp::socket socket(this->acceptor.get_executor());
       this->acceptor.accept(socket, error);
       if (!error) this->Start(std::move(socket));
@@ -89,6 +94,11 @@
   static asio::awaitable<void> AcceptLoop(std::shared_ptr<State> state) {
     asio::steady_timer pause(state->acceptor.get_executor());
     while (state->acceptor.is_open()) {
+      if (!state->MayAccept()) {
+        pause.expires_after(kMayAcceptPeriod);
+        co_await pause.async_wait(kTuple);
+        continue;
+      }
       auto [error, socket] = co_await state->acceptor.async_accept(kTuple);
       if (!state->acceptor.is_open()) break;
       if (error) {
--- a/libraries/http/server_options.h
+++ b/libraries/http/server_options.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "libraries/core/clock.h"
@@ -37,6 +38,9 @@
   /// PEM files. TLS is used if both are set.
   std::string certificate_file;
   std::string key_file;
+  /// False while new connections are to wait in the system's queue; null if they never are. Asked
+  /// before each one is accepted.
+  std::function<bool()> may_accept;
 };
 
 }  // namespace pomelospar::http
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -76,10 +76,12 @@
   this->sync = std::make_unique<StoreSync>(this->board, this->store, this->pool, *this->peers,
                                            [this] { this->ApplyCallerLimits(); });
   const auto& settings = this->board.settings;
-  BOOST_OUTCOME_TRY(this->caller_server,
-                    http::HttpServer::Create(
-                        this->io, {.address = settings.caller_address},
-                        [this](http::ServerExchange& exchange) { return this->Serve(exchange); }));
+  BOOST_OUTCOME_TRY(
+      this->caller_server,
+      http::HttpServer::Create(
+          this->io,
+          {.address = settings.caller_address, .may_accept = [this] { return this->MayAccept(); }},
+          [this](http::ServerExchange& exchange) { return this->Serve(exchange); }));
   this->ApplyCallerLimits();
   BOOST_OUTCOME_TRY(this->readiness_server,
                     http::HttpServer::Create(this->io, {.address = settings.readiness_address},
@@ -211,9 +213,17 @@
   return PolicyIsFresh(this->board, limit);
 }
 
+core::Duration Edge::TickOverdue() const {
+  return this->board.clock.now() - this->tick_timer.expiry();
+}
+
+bool Edge::MayAccept() const {
+  return this->board.stopping || this->board.processor.MayAccept(this->TickOverdue());
+}
+
 // Spreads the refusals evenly over the requests.
 bool Edge::ShedsNext() {
-  this->shed_debt += this->board.processor.refused_share();
+  this->shed_debt += this->board.processor.RefusedShare(this->TickOverdue());
   if (this->shed_debt < 1.0) return false;
   this->shed_debt -= 1.0;
   return true;
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -41,6 +41,9 @@
   void ReloadSettings();
   void ApplyCallerLimits();
   bool IsReady() const;
+  /// How long the tick has been due; negative before.
+  core::Duration TickOverdue() const;
+  bool MayAccept() const;
   bool ShedsNext();
   boost::asio::awaitable<void> Serve(http::ServerExchange& exchange);
   boost::asio::awaitable<void> AnswerReadiness(http::ServerExchange& exchange);
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -29,6 +29,8 @@
 constexpr core::Duration kRetryWhileStarting = milliseconds(500);
 // Retries reach other routers.
 constexpr core::Duration kRetryElsewhere = milliseconds(1);
+// Beyond this lateness of the event loop a caller's close is looked for before each step.
+constexpr double kLateMs = 3.0;
 constexpr std::string_view kNoRunner = "no runner has room";
 
 }  // namespace
@@ -48,6 +50,10 @@
     this->board.log.Write(LogLevel::kWarning, "malformed_header",
                           {{"request", this->facts.attempt_id}, {"header", malformed}});
   }
+  if (this->CallerMayBeGone() && this->exchange.PeerHasClosed()) {
+    this->LogEnd(499, "caller_gone", "before the request was read");
+    co_return;
+  }
   if (const auto refusal = this->Admit()) {
     co_await this->Refuse(*refusal);
     co_return;
@@ -123,6 +129,13 @@
   return holder != nullptr && holder->name == this->workspace;
 }
 
+// On a late event loop, and on a connection that waited to be accepted, the caller may have left
+// long before its close is seen.
+bool RequestSession::CallerMayBeGone() const {
+  const auto& processor = this->board.processor;
+  return processor.lateness_ms() > kLateMs || processor.IsOverloaded(this->board.clock.now());
+}
+
 void RequestSession::StartDeadline() {
   const auto patience = this->facts.patience.value_or(this->route->timeout);
   auto& full = this->board.full_patience[this->route->name];
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -58,6 +58,7 @@
   std::optional<Refusal> Admit();
   std::optional<Refusal> Authenticate();
   bool KeyIsStillValid() const;
+  bool CallerMayBeGone() const;
   void NoteDemand();
   void StartDeadline();
   void OnDeadline();
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -31,8 +31,6 @@
 // A crashed process has closed its listener by this time after its connections broke.
 constexpr core::Duration kCrashProbeDelay = milliseconds(20);
 constexpr core::Duration kCrashProbeTimeout = milliseconds(200);
-// Beyond this lateness of the event loop a caller's close is looked for before each send.
-constexpr double kLateMs = 3.0;
 // A runner's timeout may run out while the next request is on its way.
 constexpr core::Duration kIdleMargin = milliseconds(1000);
 
@@ -114,9 +112,7 @@
   auto connection = std::move(acquired.value());
   // The world may have changed while the connection was opened. On a late event loop the caller may
   // have left long before its close is seen.
-  if (this->board.processor.lateness_ms() > kLateMs && this->exchange.PeerHasClosed()) {
-    this->caller_gone = true;
-  }
+  if (this->CallerMayBeGone() && this->exchange.PeerHasClosed()) this->caller_gone = true;
   if (this->caller_gone || this->deadline_passed || !TakesNewWork(runner) ||
       !this->KeyIsStillValid()) {
     this->failure = "the runner leaves or the key was taken away";
--- a/tests/libraries/dispatch/state_test.cc
+++ b/tests/libraries/dispatch/state_test.cc
@@ -225,7 +225,7 @@
   core::ManualClock clock;
   ProcessorLoad load;
   load.OnTimer(clock.now(), milliseconds(60));
-  EXPECT_DOUBLE_EQ(load.refused_share(), 0.0);
+  EXPECT_DOUBLE_EQ(load.RefusedShare(milliseconds(0)), 0.0);
   EXPECT_FALSE(load.IsOverloaded(clock.now()));
 }
 
@@ -234,10 +234,10 @@
   core::ManualClock clock;
   ProcessorLoad load;
   for (int timer = 0; timer < 30; ++timer) load.OnTimer(clock.now(), milliseconds(250));
-  EXPECT_GT(load.refused_share(), 0.9);
+  EXPECT_GT(load.RefusedShare(milliseconds(0)), 0.9);
   EXPECT_TRUE(load.IsOverloaded(clock.now()));
   for (int timer = 0; timer < 30; ++timer) load.OnTimer(clock.now(), milliseconds(0));
-  EXPECT_DOUBLE_EQ(load.refused_share(), 0.0);
+  EXPECT_DOUBLE_EQ(load.RefusedShare(milliseconds(0)), 0.0);
   clock.Advance(seconds(8));
   EXPECT_TRUE(load.IsOverloaded(clock.now()));
   clock.Advance(seconds(3));
@@ -250,7 +250,29 @@
   ProcessorLoad load;
   for (int timer = 0; timer < 30; ++timer) load.OnTimer(clock.now(), milliseconds(45));
   EXPECT_TRUE(load.IsOverloaded(clock.now()));
-  EXPECT_LT(load.refused_share(), 0.3);
+  EXPECT_LT(load.RefusedShare(milliseconds(0)), 0.3);
+}
+
+// Guards against a turn of the event loop so long that no timer fires while it goes on taking work,
+// and against a pause of a core with a quota that counts as one.
+TEST(ProcessorLoadTest, ShedsWhileTheTimerIsOverdue) {
+  const ProcessorLoad load;
+  EXPECT_GT(load.RefusedShare(milliseconds(250)), 0.9);
+  EXPECT_DOUBLE_EQ(load.RefusedShare(milliseconds(88)), 0.0);
+}
+
+// Replays a caller that opens connections faster than the router serves them: they stay unaccepted
+// while a turn is late, and are accepted again as soon as one is in time, so that the processor is
+// never idle while connections wait.
+TEST(ProcessorLoadTest, AcceptsNothingWhileAcceptedWorkIsLate) {
+  core::ManualClock clock;
+  ProcessorLoad load;
+  EXPECT_TRUE(load.MayAccept(milliseconds(0)));
+  EXPECT_FALSE(load.MayAccept(milliseconds(200)));
+  for (int timer = 0; timer < 10; ++timer) load.OnTimer(clock.now(), milliseconds(250));
+  EXPECT_FALSE(load.MayAccept(milliseconds(0)));
+  load.OnTimer(clock.now(), milliseconds(0));
+  EXPECT_TRUE(load.MayAccept(milliseconds(0)));
 }
 
 }  // namespace
--- a/tests/libraries/http/server_test.cc
+++ b/tests/libraries/http/server_test.cc
@@ -309,6 +309,24 @@
                       });
 }
 
+// Guards against an overloaded server that goes on accepting, and against one that never accepts
+// again: a connection waits unread while the server may not accept, and is served afterwards.
+TEST_F(ServerTest, LeavesConnectionsWaitingWhileItMayNotAccept) {
+  bool may_accept = false;
+  auto options = QuickOptions();
+  options.may_accept = [&] { return may_accept; };
+  this->Start(std::move(options), this->Echo());
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    const auto connection = co_await RawConnection::Connect(this->server->address());
+    co_await connection->Send(std::string(kGet));
+    co_await Pause(std::chrono::milliseconds(100));
+    EXPECT_EQ(this->server->connections(), 0U);
+    may_accept = true;
+    EXPECT_THAT(co_await connection->ReadUntil("/x|"), HasSubstr("200 OK"));
+    EXPECT_EQ(this->handled, 1U);
+  });
+}
+
 // Guards against input that crashes the server, hangs a connection, or gets a server error.
 TEST_F(ServerTest, AnyBytesGetAnAnswerOrAClose) {
   this->Start(QuickOptions(), this->Echo());
