Dispatch: The same accepted queue for short and large prompts

The limit takes the token-weighted time to read recent prompts in place of the own one where that is longer.

--- a/libraries/dispatch/admission.cc
+++ b/libraries/dispatch/admission.cc
@@ -22,6 +22,8 @@
 constexpr double kFullSlotUse = 0.8;
 constexpr double kSlotsPerUse = 0.5;
 constexpr double kLeastSlotShare = 0.35;
+// Of the past when a prompt is noted: the last 100 or so decide.
+constexpr double kKeptShare = 0.99;
 // A late answer is worth less to its caller than one in time to another.
 constexpr double kReturningFactor = 0.6;
 // Share of the objective, or of a returning caller's patience, for which a request may be held.
@@ -43,10 +45,19 @@
   return std::max(1.0 - kSlotsPerUse * beyond, kLeastSlotShare);
 }
 
+void TypicalReading::Note(double reading_ms) {
+  this->sum = this->sum * kKeptShare + reading_ms;
+  this->sum_of_squares = this->sum_of_squares * kKeptShare + reading_ms * reading_ms;
+}
+
+double TypicalReading::milliseconds() const {
+  return this->sum > 0.0 ? this->sum_of_squares / this->sum : 0.0;
+}
+
 double AcceptedQueueMs(const EngineSpeed& speed, double tightest_objective_ms, double reading_ms,
-                       const Standing& standing) {
-  const double in_time =
-      kObjectiveShare * tightest_objective_ms - speed.first_event_ms - reading_ms;
+                       double typical_reading_ms, const Standing& standing) {
+  const double in_time = kObjectiveShare * tightest_objective_ms - speed.first_event_ms -
+                         std::max(reading_ms, typical_reading_ms);
   double limit = std::max(in_time, kLeastQueueShare * tightest_objective_ms);
   limit *= ShareFactor(standing.share_use);
   if (standing.returning) limit *= kReturningFactor;
--- a/libraries/dispatch/admission.h
+++ b/libraries/dispatch/admission.h
@@ -14,13 +14,27 @@
   bool returning = false;
 };
 
+/// Time to read a prompt in which a token of the recent prompts lies on average, so that the few
+/// large ones count for what they bring.
+class TypicalReading {
+ public:
+  void Note(double reading_ms);
+  /// 0 before the first one.
+  double milliseconds() const;
+
+ private:
+  double sum = 0.0;
+  double sum_of_squares = 0.0;
+};
+
 /// The longest wait for earlier prompts at an engine that is accepted for a request, in
 /// milliseconds. Answers a load above what the engines read: all kinds of request get the same
-/// limit, from the tightest objective among them, or else the kind with the widest objective would
-/// fill the queues to a depth at which no other meets its own. A prompt that takes most of the
-/// objective to read keeps a part of the limit, so that large requests are not starved.
+/// limit, from the tightest objective among them and the typical time to read, or else the kind
+/// with the widest objective, or the shortest prompts, would fill the queues to a depth at which no
+/// other meets its own. A prompt that takes most of the objective to read keeps a part of the
+/// limit, so that large requests are not starved.
 double AcceptedQueueMs(const EngineSpeed& speed, double tightest_objective_ms, double reading_ms,
-                       const Standing& standing);
+                       double typical_reading_ms, const Standing& standing);
 
 /// Share of an engine's slots that the request's workspace may fill. Answers streams so long that
 /// slots, not reading, bind: without it small workspaces find all slots taken by large ones.
--- a/services/pomelospar_edge/blackboard.h
+++ b/services/pomelospar_edge/blackboard.h
@@ -15,6 +15,7 @@
 #include "libraries/core/buffered_log.h"
 #include "libraries/core/clock.h"
 #include "libraries/core/identifiers.h"
+#include "libraries/dispatch/admission.h"
 #include "libraries/dispatch/crash_suspects.h"
 #include "libraries/dispatch/engine_model.h"
 #include "libraries/dispatch/peer_view.h"
@@ -98,6 +99,8 @@
   double share_level = 0.0;
   /// By upstream name.
   std::unordered_map<std::string, dispatch::RetryAllowance> retries;
+  /// By upstream name: the prompts of this router's callers.
+  std::unordered_map<std::string, dispatch::TypicalReading> typical_reading;
   /// By route name: the longest patience of a caller. A caller with clearly less was here before.
   std::unordered_map<std::string, core::Duration> full_patience;
   dispatch::CrashSuspects suspects;
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -93,7 +93,8 @@
       .prompt_tokens = prompt.input_tokens,
       .output_tokens = dispatch::ExpectedOutputTokens(prompt),
       .queue_limit_ms = dispatch::AcceptedQueueMs(
-          speed, ToMilliseconds(this->upstream->tightest_objective), reading, this->standing)};
+          speed, ToMilliseconds(this->upstream->tightest_objective), reading,
+          this->board.typical_reading[this->upstream->name].milliseconds(), this->standing)};
   const auto placement = dispatch::PlaceAtEngine(speed, options, request);
   if (!placement) return false;
   auto* runner = candidates[placement->option];
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -158,7 +158,11 @@
                                              .slack = 1.0,
                                              .window = this->board.settings.retry_window}))
       .first->second.OnRequest(now);
-  if (!this->upstream->engine || this->workspace.empty()) return;
+  if (!this->upstream->engine) return;
+  const double input = this->facts.prompt.input_tokens;
+  this->board.typical_reading[this->upstream->name].Note(
+      dispatch::ReadingMs(this->board.engine_speed, input, input, 0.0));
+  if (this->workspace.empty()) return;
   this->share_tokens = ShareTokens(this->facts.prompt);
   WindowOf(this->board, this->workspace).asked.Add(now, this->share_tokens);
 }
--- a/tests/libraries/dispatch/placement_test.cc
+++ b/tests/libraries/dispatch/placement_test.cc
@@ -140,24 +140,38 @@
 // objective only, so the flood cannot fill the engines beyond what the others can bear.
 TEST(AcceptedQueueTest, IsBoundedByTheTightestObjective) {
   const EngineSpeed speed;
-  EXPECT_LE(AcceptedQueueMs(speed, 600.0, 20.0, {}) + speed.first_event_ms + 20.0, 600.0);
+  EXPECT_LE(AcceptedQueueMs(speed, 600.0, 20.0, 0.0, {}) + speed.first_event_ms + 20.0, 600.0);
 }
 
 // Guards against large prompts that are never admitted under load.
 TEST(AcceptedQueueTest, KeepsAPartForLargePrompts) {
-  EXPECT_GT(AcceptedQueueMs({}, 600.0, 5000.0, {}), 100.0);
+  EXPECT_GT(AcceptedQueueMs({}, 600.0, 5000.0, 0.0, {}), 100.0);
+}
+
+// Replays the worst load of a deployment with a few large prompts among many short ones: the short
+// ones keep the queues no longer than the large ones are accepted at, or these would all be
+// refused.
+TEST(AcceptedQueueTest, IsTheSameForShortAndLargePrompts) {
+  constexpr double kLargeMs = 130.0;
+  constexpr double kShortMs = 20.0;
+  TypicalReading typical;
+  for (int prompt = 0; prompt < 400; ++prompt) typical.Note(prompt % 4 == 0 ? kLargeMs : kShortMs);
+  EXPECT_GT(typical.milliseconds(), 0.7 * kLargeMs);
+  EXPECT_LT(typical.milliseconds(), kLargeMs);
+  const double limit = AcceptedQueueMs({}, 500.0, kLargeMs, typical.milliseconds(), {});
+  EXPECT_LT(AcceptedQueueMs({}, 500.0, kShortMs, typical.milliseconds(), {}), 1.2 * limit);
 }
 
 // Replays workspaces that compete: one that got more is accepted at shorter queues only, without a
 // step that both sides of it could settle at.
 TEST(AcceptedQueueTest, FallsWithTheShareThatWasUsed) {
-  double previous = AcceptedQueueMs({}, 600.0, 20.0, {.share_use = 0.0});
+  double previous = AcceptedQueueMs({}, 600.0, 20.0, 0.0, {.share_use = 0.0});
   for (const double use : {0.9, 1.0, 1.1, 1.2, 1.5, 2.0, 4.0}) {
-    const double limit = AcceptedQueueMs({}, 600.0, 20.0, {.share_use = use});
+    const double limit = AcceptedQueueMs({}, 600.0, 20.0, 0.0, {.share_use = use});
     EXPECT_LT(limit, previous) << use;
     previous = limit;
   }
-  EXPECT_LT(previous, 0.05 * AcceptedQueueMs({}, 600.0, 20.0, {}));
+  EXPECT_LT(previous, 0.05 * AcceptedQueueMs({}, 600.0, 20.0, 0.0, {}));
 }
 
 // Replays engines whose slots are all in use: one large workspace asks four times as often as the
