--- a/tests/libraries/dispatch/runner_directory_test.cc
+++ b/tests/libraries/dispatch/runner_directory_test.cc
@@ -79,6 +79,7 @@
   EXPECT_EQ(changes.Recent(clock.now())[0].after, asking.state());
 
   std::vector<RunnerChange> many;
+  many.reserve(40);
   for (int id = 0; id < 40; ++id) many.push_back(Entry(id, 4));
   changes.Note(clock.now(), Step(asking, many));
   changes.Note(clock.now(), Step(asking, {Entry(1, 2)}));
