--- a/libraries/dispatch/processor_load.h
+++ b/libraries/dispatch/processor_load.h
@@ -7,8 +7,8 @@
 
 /// Judges by the lateness of a periodic timer whether this process has more work than processor
 /// time, and which share of new requests it should turn away. Answers one caller that sends many
-/// times its usual to the one router that its connections lead to: a refusal costs a tenth of the
-/// request, and the next try reaches another router.
+/// times its usual to the one router that its connections lead to: a refusal costs a quarter of
+/// the request, and the next try reaches another router.
 class ProcessorLoad {
  public:
   /// Call when the timer fires, with the time since it was due.
