--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -126,6 +126,7 @@
     return;
   }
   if (report.value().sender == this->board.settings.ip) return;
+  this->Count("received");
   const bool relayed = sender.address().to_string() != report.value().sender;
   if (!relayed) {
     // Its row may not have been read yet.
@@ -234,15 +235,26 @@
   }
 }
 
+void PeerExchange::Count(std::string_view kind) {
+  this->board.metrics
+      .FindCounter("pomelospar_report_datagrams_total", "Reports between routers.",
+                   {{"kind", kind}})
+      .Add();
+}
+
 void PeerExchange::SendToOwnDomain(std::string_view datagram) {
   for (const auto& [name, peer] : this->addresses) {
-    if (peer.domain == this->board.settings.domain) this->SendTo(name, peer, datagram);
+    if (peer.domain != this->board.settings.domain) continue;
+    this->SendTo(name, peer, datagram);
+    this->Count("sent_in_domain");
   }
 }
 
 void PeerExchange::SendToOtherDomains(std::string_view datagram) {
   for (const auto& [name, peer] : this->addresses) {
-    if (peer.domain != this->board.settings.domain) this->SendTo(name, peer, datagram);
+    if (peer.domain == this->board.settings.domain) continue;
+    this->SendTo(name, peer, datagram);
+    this->Count("sent_across");
   }
 }
 
@@ -258,6 +270,7 @@
       core::HashName(this->board.settings.ip) + this->sequence / kReportsPerOtherDomain;
   for (const auto chosen : dispatch::ChooseRelays(candidates, turn)) {
     this->SendTo(entries[chosen]->first, entries[chosen]->second, datagram);
+    this->Count("sent_across");
   }
 }
 
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -63,6 +63,7 @@
   void SendToOwnDomain(std::string_view datagram);
   void SendToOtherDomains(std::string_view datagram);
   void SendToRelays(std::string_view datagram);
+  void Count(std::string_view kind);
   void Receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender);
   void NoteReads(const dispatch::PeerReport& report);
   dispatch::PeerReport MakeReport();
--- a/tests/libraries/dispatch/placement_test.cc
+++ b/tests/libraries/dispatch/placement_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <vector>
 
 #include "libraries/dispatch/admission.h"
@@ -79,6 +80,55 @@
   EXPECT_EQ(PlaceAtEngine({}, options, Draft())->option, 0U);
 }
 
+// Replays 64 routers that see the same 12 idle engines until the next report and place a prompt
+// each. Guards against a herd: without the guess all of them choose the same engine.
+TEST(PlaceAtEngineTest, RoutersWithTheSameViewChooseDifferentEngines) {
+  constexpr std::size_t kRouters = 64;
+  constexpr std::size_t kEngines = 12;
+  std::mt19937_64 random(5);
+  std::uniform_real_distribution<> draw(1e-9, 1.0);
+  for (const double mean_ms : {0.0, 50.0}) {
+    std::vector<std::size_t> chosen(kEngines);
+    for (std::size_t router = 0; router < kRouters; ++router) {
+      std::vector<EngineOption> options(kEngines, IdleEngine());
+      for (auto& option : options) option.unseen_ms = UnseenWorkMs(mean_ms, draw(random));
+      ++chosen[PlaceAtEngine({}, options, Draft())->option];
+    }
+    const auto most = *std::max_element(chosen.begin(), chosen.end());
+    if (mean_ms == 0.0) {
+      EXPECT_EQ(most, kRouters);
+    } else {
+      EXPECT_LT(most, 3 * kRouters / kEngines);
+    }
+  }
+}
+
+// Guards against a guess that lets a prompt go where its parts must be read again.
+TEST(PlaceAtEngineTest, UnseenWorkDoesNotOutweighAKeptPrefix) {
+  std::vector<EngineOption> options = {IdleEngine(), IdleEngine()};
+  options[1].cached_tokens = 5'400.0;
+  options[1].unseen_ms = UnseenWorkMs(50.0, 0.1);
+  EXPECT_EQ(PlaceAtEngine({}, options, Draft())->option, 1U);
+}
+
+// Guards against a refusal whose cause cannot be told from the log: each engine is counted under
+// the first limit that closes it.
+TEST(CountObstaclesTest, NamesTheLimitThatClosesEachEngine) {
+  std::vector<EngineOption> options(5, IdleEngine());
+  options[0].load.active = 128.0;
+  options[1].load.memory_tokens = 890'000.0;
+  options[2].load.unread_tokens = 80'000.0;
+  options[3].load.unread_tokens = 35'000.0;
+  options[4].load.unread_tokens = 70'000.0;
+  options[4].cached_tokens = 5'400.0;
+  const auto obstacles = CountObstacles({}, options, Draft());
+  EXPECT_EQ(obstacles.slots, 1U);
+  EXPECT_EQ(obstacles.memory, 1U);
+  EXPECT_EQ(obstacles.queue, 2U);
+  EXPECT_EQ(obstacles.repeated_reading, 1U);
+  EXPECT_FALSE(PlaceAtEngine({}, options, Draft()).has_value());
+}
+
 // Guards against requests that are sent to engines at their limit, where they would be preempted or
 // wait behind others: they are not offered at all.
 TEST(PlaceAtEngineTest, OffersNoEngineWithoutSlotsMemoryOrTime) {
@@ -148,6 +198,13 @@
   EXPECT_GT(AcceptedQueueMs({}, 600.0, 5000.0, 0.0, {}), 100.0);
 }
 
+// Replays prompts of 17,000 tokens, of which each takes 400 ms to read, against an objective of 500
+// ms. Guards against engines that are idle between two prompts while others are refused: half of
+// the objective may be spent on the prompt before.
+TEST(AcceptedQueueTest, KeepsEnginesBusyWherePromptsTakeMostOfTheObjective) {
+  EXPECT_GE(AcceptedQueueMs({}, 500.0, 400.0, 400.0, {}), 250.0);
+}
+
 // Replays the worst load of a deployment with a few large prompts among many short ones: the short
 // ones keep the queues no longer than the large ones are accepted at, or these would all be
 // refused.
--- a/tests/system/platform_router.py
+++ b/tests/system/platform_router.py
@@ -22,7 +22,7 @@
 SETTINGS = """
 node-name = "edge-{ip}"
 ip = "{ip}"
-zone = "a"
+zone = "{domain}"
 internal-ports = [{internal}, {internal}]
 [listen]
 frontend = "{ip}:{callers}"
@@ -60,7 +60,7 @@
 class Router:
     """One process of the router, with its log. Routers of one fleet need an address each."""
 
-    def __init__(self, store_port, ip="127.0.0.1"):
+    def __init__(self, store_port, ip="127.0.0.1", domain="a"):
         self.ip, self.callers, self.ready = ip, free_port(), free_port()
         self.directory = tempfile.TemporaryDirectory()
         self.settings_path = os.path.join(self.directory.name, "settings.toml")
@@ -71,6 +71,7 @@
                     callers=self.callers,
                     ready=self.ready,
                     internal=free_port(),
+                    domain=domain,
                     store=store_port,
                 )
             )
@@ -109,12 +110,15 @@
         finally:
             connection.close()
 
-    def store_calls(self):
-        """Reads of the platform's tables since the start, by the router's metrics."""
+    def metric(self, prefix):
+        """Sum of the router's metrics whose lines begin with the prefix."""
         with urllib.request.urlopen(f"http://{self.ip}:{METRICS_PORT}/metrics", timeout=2) as answer:
             lines = answer.read().decode().splitlines()
-        name = "pomelospar_store_calls_total{"
-        return sum(float(line.split()[-1]) for line in lines if line.startswith(name))
+        return sum(float(line.split()[-1]) for line in lines if line.startswith(prefix))
+
+    def store_calls(self):
+        """Reads of the platform's tables since the start."""
+        return self.metric("pomelospar_store_calls_total{")
 
     def lines(self):
         with open(self.log_path, encoding="utf-8") as file:
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -147,14 +147,21 @@
         "4000\r\n" + "x" * 16384 + "\r\n"),
 }
 
+# The same for responses of which a byte arrives now and then.
+TRICKLES = {
+    "trickle_head": "HTTP/1.1 200 OK\r\nX-Slow: ",
+    "trickle_event": (
+        "HTTP/1.1 200 OK\r\n{known}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"),
+}
+
 
 class Runner:
     """A runner that answers a stream of `events` events, or a short body for other paths.
 
     `fault` is one of None, "break" (resets after `break_after` events), "full", "other_instance",
     "error", "no_receipt", "unframed", "extra" (a second response after each), "refuse_silently" (a 503
-    that does not say that nothing ran), "crash", "hang", and those of `ENDLESS`, which send bytes until the
-    connection is closed.
+    that does not say that nothing ran), "crash", "hang", and those of `ENDLESS` and `TRICKLES`, which send
+    bytes until the connection is closed.
     """
 
     def __init__(self, identifier, service):
@@ -214,6 +221,8 @@
         if self.fault == "other_instance" or headers.get("x-expect-instance") != self.identifier:
             writer.write(response(421, b"", [("X-Instance-Id", "i-unknown")]))
             return True
+        if self.fault in TRICKLES:
+            return await self.trickle(known, writer)
         if self.fault in ENDLESS:
             return await self.send_without_end(known, writer)
         self.executed.append({"headers": headers, "at": time.monotonic()})
@@ -247,6 +256,14 @@
             writer.write(response(200, b"late answer to " + identifier.encode(), known))
         return True
 
+    async def trickle(self, known, writer):
+        lines = "".join(f"{n}: {v}\r\n" for n, v in known)
+        writer.write(TRICKLES[self.fault].replace("{known}", lines).encode())
+        while True:
+            writer.write(b"x" if self.fault == "trickle_head" else b"1\r\nx\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.1)
+
     async def send_without_end(self, known, writer):
         start, repeated = ENDLESS[self.fault]
         lines = "".join(f"{n}: {v}\r\n" for n, v in known)
--- a/tests/system/test_endless_bytes.py
+++ b/tests/system/test_endless_bytes.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from platform_router import KEY, Router, until  # noqa: E402
-from table_platform import ENDLESS, Platform  # noqa: E402
+from table_platform import ENDLESS, TRICKLES, Platform  # noqa: E402
 
 # The least memory of an instance, from the users' deployment sheets.
 MEMORY_LIMIT_MB = 160
@@ -91,6 +91,30 @@
             self.assertLess(resident_mb(self.router.process), MEMORY_LIMIT_MB)
             self.assertIsNone(self.router.process.poll())
 
+    # Guards against a runner that sends a byte now and then and is waited for without end.
+    def test_a_response_that_never_gets_on_ends_at_the_callers_deadline(self):
+        patience = 1.5
+        for fault in TRICKLES:
+            with self.subTest(fault=fault):
+                for runner in self.engines:
+                    runner.fault = fault
+                    runner.cancelled.clear()
+                begun = time.monotonic()
+                status, _, _ = self.router.ask(
+                    fault, "/s/1", headers={"X-Deadline-Ms": str(int(patience * 1000))})
+                self.assertEqual(status, 504)
+                self.assertLess(time.monotonic() - begun, patience + 0.5)
+                self.assertTrue(until(lambda: any(r.cancelled for r in self.engines), 1))
+
+    # Guards against a slow stream that is taken for a stalled one: its pauses are four times what the
+    # route's objective allows.
+    def test_a_slow_but_sound_stream_is_delivered_whole(self):
+        for runner in self.engines:
+            runner.gap, runner.events = 1.0, 4
+        status, _, body = self.router.ask("slow", "/s/1")
+        self.assertEqual(status, 200)
+        self.assertEqual(body.count(b"data: part-"), 4)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- /dev/null
+++ b/tests/system/test_platform_large_fleet.py
@@ -0,0 +1,72 @@
+"""A fleet of so many routers on the users' platform that reports cross to a failure domain once."""
+
+import os
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from platform_router import KEY, Router, until  # noqa: E402
+from table_platform import Platform  # noqa: E402
+
+DOMAINS = "ab"
+ROUTERS_A_DOMAIN = 9
+# A router that is silent for 2.2 s no longer counts; the load line is written each second.
+SILENCE = 2.2 + 2.0
+# Time in which the rows of all routers are read.
+ACQUAINTANCE = 6.0
+
+
+class PlatformLargeFleetTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = Platform()
+        self.platform.configure(3, [KEY])
+        self.platform.add_runner("i-d1", "desk")
+        self.routers = []
+        for number, domain in enumerate(DOMAINS):
+            for index in range(ROUTERS_A_DOMAIN):
+                router = Router(self.platform.store_port, f"127.0.{number + 1}.{index + 1}", domain)
+                self.addCleanup(router.end)
+                self.routers.append(router)
+        for router in self.routers:
+            self.assertTrue(until(router.is_ready, 10))
+
+    def known(self, router):
+        """Routers whose reports this one has, by its last load line."""
+        loads = [line for line in router.lines() if line["message"] == "load"]
+        return loads[-1]["peers"] if loads else 0
+
+    def all_know(self, routers):
+        return all(self.known(router) == len(routers) - 1 for router in routers)
+
+    # Guards against bytes between failure domains that grow with the square of the routers, and against
+    # routers that hear nothing of another domain, also while relays there are dead.
+    def test_reports_cross_once_and_reach_all(self):
+        self.assertTrue(until(lambda: self.all_know(self.routers), ACQUAINTANCE))
+        sender = self.routers[0]
+        across = sender.metric('pomelospar_report_datagrams_total{kind="sent_across"')
+        inside = sender.metric('pomelospar_report_datagrams_total{kind="sent_in_domain"')
+        time.sleep(3)
+        across = sender.metric('pomelospar_report_datagrams_total{kind="sent_across"') - across
+        inside = sender.metric('pomelospar_report_datagrams_total{kind="sent_in_domain"') - inside
+        # Two a second to one router of the other domain; those of the others pass through as well.
+        self.assertGreaterEqual(across, 4)
+        self.assertLessEqual(across, 8)
+        self.assertGreater(inside, across)
+        half = [r for r in self.routers if int(r.ip.split(".")[-1]) % 2 == 0]
+        for router in half:
+            router.process.kill()
+            router.process.wait()
+        left = [r for r in self.routers if r not in half]
+        self.assertTrue(until(lambda: self.all_know(left), SILENCE))
+        # Nobody drops out later because a report went to a dead relay.
+        for _ in range(4):
+            time.sleep(1)
+            self.assertTrue(self.all_know(left))
+        for router in half:
+            router.start()
+        self.assertTrue(until(lambda: self.all_know(self.routers), ACQUAINTANCE))
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
