--- a/meta/test.sh
+++ b/meta/test.sh
@@ -8,7 +8,10 @@
 meta/format.sh --check
 meta/lint.sh
 # Tests in KNOWN-RED.txt are run and printed, and do not decide.
-known="$(sed -n 's/^\([a-z_]*\);.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)"
+known=""
+if [ -f KNOWN-RED.txt ]; then
+  known="$(sed -n 's/^\([a-z_]*\);.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)"
+fi
 if [ -n "$known" ]; then
   cat KNOWN-RED.txt
   ctest --test-dir build --output-on-failure --no-tests=error -R "^($known)\$" ||
