--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -38,10 +38,20 @@
 // A router that was silent for so long is cut off or gone.
 constexpr core::Duration kReportLifetime = milliseconds(2200);
 
+metrics::Counter FindDatagramCounter(Blackboard& board, std::string_view kind) {
+  return board.metrics.FindCounter("pomelospar_report_datagrams_total", "Reports between routers.",
+                                   {{"kind", kind}});
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(Blackboard& blackboard, udp::socket bound)
-    : board(blackboard), socket(std::move(bound)), timer(blackboard.io) {}
+    : board(blackboard),
+      socket(std::move(bound)),
+      timer(blackboard.io),
+      sent_in_domain(FindDatagramCounter(blackboard, "sent_in_domain")),
+      sent_across(FindDatagramCounter(blackboard, "sent_across")),
+      received(FindDatagramCounter(blackboard, "received")) {}
 
 core::Result<std::unique_ptr<PeerExchange>> PeerExchange::Create(Blackboard& board) {
   BOOST_OUTCOME_TRY(const auto address,
@@ -126,7 +136,7 @@
     return;
   }
   if (report.value().sender == this->board.settings.ip) return;
-  this->Count("received");
+  this->received.Add();
   const bool relayed = sender.address().to_string() != report.value().sender;
   if (!relayed) {
     // Its row may not have been read yet.
@@ -235,18 +245,11 @@
   }
 }
 
-void PeerExchange::Count(std::string_view kind) {
-  this->board.metrics
-      .FindCounter("pomelospar_report_datagrams_total", "Reports between routers.",
-                   {{"kind", kind}})
-      .Add();
-}
-
 void PeerExchange::SendToOwnDomain(std::string_view datagram) {
   for (const auto& [name, peer] : this->addresses) {
     if (peer.domain != this->board.settings.domain) continue;
     this->SendTo(name, peer, datagram);
-    this->Count("sent_in_domain");
+    this->sent_in_domain.Add();
   }
 }
 
@@ -254,7 +257,7 @@
   for (const auto& [name, peer] : this->addresses) {
     if (peer.domain == this->board.settings.domain) continue;
     this->SendTo(name, peer, datagram);
-    this->Count("sent_across");
+    this->sent_across.Add();
   }
 }
 
@@ -270,7 +273,7 @@
       core::HashName(this->board.settings.ip) + this->sequence / kReportsPerOtherDomain;
   for (const auto chosen : dispatch::ChooseRelays(candidates, turn)) {
     this->SendTo(entries[chosen]->first, entries[chosen]->second, datagram);
-    this->Count("sent_across");
+    this->sent_across.Add();
   }
 }
 
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -63,7 +63,6 @@
   void SendToOwnDomain(std::string_view datagram);
   void SendToOtherDomains(std::string_view datagram);
   void SendToRelays(std::string_view datagram);
-  void Count(std::string_view kind);
   void Receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender);
   void NoteReads(const dispatch::PeerReport& report);
   dispatch::PeerReport MakeReport();
@@ -76,6 +75,10 @@
   std::string key;
   std::string previous_key;
   std::uint64_t sequence = 0;
+  /// Datagrams since the start.
+  metrics::Counter sent_in_domain;
+  metrics::Counter sent_across;
+  metrics::Counter received;
   /// Told in the own failure domain, not yet in the others.
   std::vector<dispatch::PrefixRead> distant_reads;
   std::vector<dispatch::Suspicion> distant_suspicions;
