Dispatch, Edge: Wait by share and up to a third of the objective, limit queues by the work's objective, return within one objective

Refused requests were held for an eighth of their objective, tried in order of arrival behind those of the workspace that floods, met limits from the tightest objective of all routes, and came back after 16 to 32% of their remaining time, late without need.

--- a/libraries/dispatch/admission.cc
+++ b/libraries/dispatch/admission.cc
@@ -25,15 +25,15 @@
 constexpr double kSlotReductionStartUse = 0.8;
 constexpr double kSlotFractionPerUse = 0.5;
 constexpr double kMinSlotFraction = 0.35;
-// Weight of the earlier prompts when a prompt is added, so that about the last 100 prompts
-// determine the result.
-constexpr double kDecayFactor = 0.99;
 // A request that is retried by its caller is late already. It is worth less than a request that can
 // still meet its objective, so it is admitted at shorter queues only.
 constexpr double kCallerRetryFactor = 0.6;
 // A request may be held for the smaller of its objective and its remaining time, divided by this.
-// For a retry of the caller only the remaining time counts, up to `kMaxCallerRetryHold`.
-constexpr int kHoldDivisor = 8;
+// The rest of the objective is for the queue and the prefill at the runner.
+constexpr int kHoldDivisor = 3;
+// A retry of the caller may be held for its remaining time divided by this, up to
+// `kMaxCallerRetryHold`.
+constexpr int kCallerRetryHoldDivisor = 8;
 constexpr core::Duration kMaxCallerRetryHold = std::chrono::milliseconds(800);
 // Callers respect a Retry-After of up to a third of the time they have left.
 constexpr double kMaxRetryAfterFraction = 0.32;
@@ -52,20 +52,11 @@
   return std::max(1.0 - kSlotFractionPerUse * beyond, kMinSlotFraction);
 }
 
-void TypicalPrefillTime::AddSample(double prefill_ms) {
-  this->sum = this->sum * kDecayFactor + prefill_ms;
-  this->sum_of_squares = this->sum_of_squares * kDecayFactor + prefill_ms * prefill_ms;
-}
-
-double TypicalPrefillTime::milliseconds() const {
-  return this->sum > 0.0 ? this->sum_of_squares / this->sum : 0.0;
-}
-
-double QueueWaitLimitMs(const EngineSpeed& speed, double tightest_objective_ms, double prefill_ms,
+double QueueWaitLimitMs(const EngineSpeed& speed, double limiting_objective_ms, double prefill_ms,
                         double typical_prefill_ms, const AdmissionContext& context) {
-  const double in_time = kObjectiveFraction * tightest_objective_ms - speed.first_event_ms -
+  const double in_time = kObjectiveFraction * limiting_objective_ms - speed.first_event_ms -
                          std::max(prefill_ms, typical_prefill_ms);
-  double limit = std::max(in_time, kMinQueueFraction * tightest_objective_ms);
+  double limit = std::max(in_time, kMinQueueFraction * limiting_objective_ms);
   limit *= ShareFactor(context.share_use);
   if (context.is_caller_retry) limit *= kCallerRetryFactor;
   return limit;
@@ -74,12 +65,24 @@
 core::Duration HoldLimit(core::Duration objective, core::Duration time_left,
                          const AdmissionContext& context) {
   if (!context.is_caller_retry) return std::min(objective, time_left) / kHoldDivisor;
-  return std::min(time_left / kHoldDivisor, kMaxCallerRetryHold);
+  return std::min(time_left / kCallerRetryHoldDivisor, kMaxCallerRetryHold);
+}
+
+bool IsTriedBefore(const AdmissionContext& left, const AdmissionContext& right) {
+  if (left.is_caller_retry != right.is_caller_retry) return right.is_caller_retry;
+  return left.share_use < right.share_use;
 }
 
-core::Duration RetryAfter(core::Duration time_left, double draw) {
-  const double share = kMaxRetryAfterFraction * (0.5 + 0.5 * draw);
-  return std::chrono::duration_cast<core::Duration>(time_left * share);
+core::Duration RetryAfter(core::Duration objective, core::Duration time_left,
+                          core::Duration share_window, const AdmissionContext& context,
+                          double draw) {
+  const double excess = std::max(1.0 - kReductionEndUse / std::max(context.share_use, 1e-9), 0.0);
+  const auto until_within_share = std::chrono::duration_cast<core::Duration>(share_window * excess);
+  const auto forecast = std::max(objective, until_within_share);
+  const auto accepted =
+      std::chrono::duration_cast<core::Duration>(time_left * kMaxRetryAfterFraction);
+  return std::chrono::duration_cast<core::Duration>(std::min(forecast, accepted) *
+                                                    (0.5 + 0.5 * draw));
 }
 
 }  // namespace pomelospar::dispatch
--- a/libraries/dispatch/admission.h
+++ b/libraries/dispatch/admission.h
@@ -17,27 +17,14 @@
   bool is_caller_retry = false;
 };
 
-/// Typical prefill time of the recent prompts: the mean weighted by the prefill time itself, so
-/// that a few large prompts count in proportion to the work they cause.
-class TypicalPrefillTime {
- public:
-  void AddSample(double prefill_ms);
-  /// Returns 0 before the first prompt.
-  double milliseconds() const;
-
- private:
-  double sum = 0.0;
-  double sum_of_squares = 0.0;
-};
-
 /// Returns the longest wait for earlier prompts at an engine, in milliseconds, at which a request
 /// is still admitted there. It limits the queues while prompts arrive faster than the engines can
-/// prefill them. All kinds of requests get the same limit, derived from the tightest objective
-/// among them and the typical prefill time; otherwise the kind with the widest objective or the
-/// shortest prompts would fill the queues until no other kind meets its objective. A prompt whose
-/// prefill takes most of the objective keeps a part of the limit, so that large requests are not
-/// starved.
-double QueueWaitLimitMs(const EngineSpeed& speed, double tightest_objective_ms, double prefill_ms,
+/// prefill them. All kinds of requests get the same limit, derived from the objective that most of
+/// the work has or exceeds and from the typical prefill time (see `RecentWork`); otherwise the kind
+/// with the widest objective or the shortest prompts would fill the queues until no other kind
+/// meets its objective. A prompt whose prefill takes most of the objective keeps a part of the
+/// limit, so that large requests are not starved.
+double QueueWaitLimitMs(const EngineSpeed& speed, double limiting_objective_ms, double prefill_ms,
                         double typical_prefill_ms, const AdmissionContext& context);
 
 /// Returns the fraction of an engine's slots that the request's workspace may fill. It matters when
@@ -45,16 +32,29 @@
 /// workspaces take all slots and small ones get none.
 double MaxSlotFraction(const AdmissionContext& context);
 
-/// Returns how long a request may wait in the router for a runner before it is refused. The time is
-/// short because a caller that learns of the refusal soon can retry while the answer is still
-/// useful.
+/// Returns how long a request may wait in the router for a runner before it is refused. A request
+/// of a first caller waits for a part of its objective only, so that it can still meet the
+/// objective at the runner. It pays where load comes in bursts shorter than that: a caller that is
+/// refused comes back after its objective. The time of a caller's retry is short, because the next
+/// refusal is its last.
 core::Duration HoldLimit(core::Duration objective, core::Duration time_left,
                          const AdmissionContext& context);
 
-/// Returns the delay after which a refused caller should retry. `draw` is a uniform random number
-/// in [0, 1); it spreads the retries, so that the callers of one burst do not return as the next
-/// burst.
-core::Duration RetryAfter(core::Duration time_left, double draw);
+/// Returns true if a waiting request of a sender with `left` is tried before one with `right`.
+/// Requests that can still meet their objective go before retries of callers, then the sender that
+/// has used less of its share goes first. Without this order the requests of a workspace that
+/// floods the fleet stand before those of all others, whose time to wait then ends behind them.
+bool IsTriedBefore(const AdmissionContext& left, const AdmissionContext& right);
+
+/// Returns the delay after which a refused caller should retry: when the work that keeps the
+/// engines busy now will have been prefilled. Queue limits keep it below one objective. The sender
+/// of a workspace beyond its share is told to come back when enough of its use has left the share
+/// window. It stays within the part of the remaining time that callers accept. `draw` is a uniform
+/// random number in [0, 1); it spreads the retries, so that the callers of one burst do not return
+/// as the next burst.
+core::Duration RetryAfter(core::Duration objective, core::Duration time_left,
+                          core::Duration share_window, const AdmissionContext& context,
+                          double draw);
 
 }  // namespace pomelospar::dispatch
 
--- a/libraries/dispatch/placement.cc
+++ b/libraries/dispatch/placement.cc
@@ -81,6 +81,10 @@
 
 }  // namespace
 
+double FewestUncachedTokens(std::span<const EngineOption> options, double prompt_tokens) {
+  return std::max(prompt_tokens - MostCachedTokens(options), 1.0);
+}
+
 double UnreportedWorkMs(double mean_ms, double draw) { return -mean_ms * std::log(draw); }
 
 std::optional<EnginePlacement> PlaceAtEngine(const EngineSpeed& speed,
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -47,6 +47,10 @@
   double first_event_ms = 0.0;
 };
 
+/// Returns the tokens that the engine with the most cached tokens of the prompt has to prefill; at
+/// least 1.
+double FewestUncachedTokens(std::span<const EngineOption> options, double prompt_tokens);
+
 /// Returns a random estimate of unreported work in milliseconds, exponentially distributed with the
 /// mean `mean_ms`. `draw` is a uniform random number in (0, 1]. In a large fleet many routers see
 /// the same loads, one report period late; without the random part all of them would choose the
--- a/libraries/dispatch/policy.cc
+++ b/libraries/dispatch/policy.cc
@@ -3,28 +3,12 @@
 #include <algorithm>
 
 namespace pomelospar::dispatch {
-namespace {
-
-void UpdateTightestObjective(Policy& policy, const Route& route,
-                             const WeightedUpstream& destination) {
-  const auto found = policy.upstreams.find(destination.upstream);
-  if (found == policy.upstreams.end() || !route.streaming) return;
-  auto& tightest = found->second.tightest_objective;
-  if (tightest == core::Duration::zero() || route.objective < tightest) tightest = route.objective;
-}
-
-}  // namespace
 
 void IndexRoutes(Policy& policy) {
   policy.routes_by_host.clear();
   for (std::size_t index = 0; index < policy.routes.size(); ++index) {
     policy.routes_by_host[policy.routes[index].host].push_back(index);
   }
-  for (const auto& route : policy.routes) {
-    for (const auto& destination : route.destinations) {
-      UpdateTightestObjective(policy, route, destination);
-    }
-  }
   for (auto& [host, indices] : policy.routes_by_host) {
     std::stable_sort(indices.begin(), indices.end(), [&](std::size_t left, std::size_t right) {
       return policy.routes[left].prefix.size() > policy.routes[right].prefix.size();
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -61,8 +61,6 @@
   std::string name;
   /// Connections that one runner accepts from all routers together.
   std::size_t maximum_connections = 0;
-  /// Shortest objective of the streaming routes that lead to this upstream; set by `IndexRoutes`.
-  core::Duration tightest_objective{};
   /// Absent for plain services.
   std::optional<EngineLimits> engine;
 };
@@ -97,8 +95,7 @@
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
 };
 
-/// Fills `routes_by_host` and the objectives of the upstreams from `routes`. Call it once after
-/// routes and upstreams are complete.
+/// Fills `routes_by_host` from `routes`. Call it once after the routes are complete.
 void IndexRoutes(Policy& policy);
 
 /// Returns the route of the host with the longest prefix that `path` begins with, or null if there
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -187,7 +187,7 @@
   this->log.Write(LogLevel::kInfo, "load",
                   {{"connections", std::uint64_t{this->caller_server->connections()}},
                    {"requests", std::uint64_t{this->caller_server->active_exchanges()}},
-                   {"waiting", std::uint64_t{this->state.waiting.size()}},
+                   {"waiting", std::uint64_t{CountWaiting(this->state)}},
                    {"lateness_ms", this->state.processor.lateness_ms()},
                    {"accepting", this->MayAccept()},
                    {"peers", std::uint64_t{this->state.peers.size()}},
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -193,7 +193,7 @@
       });
     }
     this->SendReports();
-    this->state.waiting.TryAll();
+    TryWaiting(this->state);
   }
 }
 
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -1,6 +1,7 @@
 // The parts of RequestSession that choose a runner.
 
 #include <algorithm>
+#include <utility>
 
 #include "libraries/core/identifiers.h"
 #include "libraries/core/milliseconds.h"
@@ -100,14 +101,19 @@
   auto options = this->DescribeEngines(limits, candidates);
   this->PreferRendezvousEngine(candidates, options);
   const auto& speed = this->state.engine_speed;
-  const double reading = dispatch::PrefillMs(speed, prompt.input_tokens, prompt.input_tokens, 0.0);
+  const double prefill_ms =
+      dispatch::PrefillMs(speed, dispatch::FewestUncachedTokens(options, prompt.input_tokens),
+                          prompt.input_tokens, 0.0);
+  auto& recent_work = this->state.recent_work[this->upstream->name];
+  if (!std::exchange(this->is_work_recorded, true)) {
+    recent_work.AddPrompt(this->route->objective, prefill_ms);
+  }
   const dispatch::EngineRequest request = {
       .prompt_tokens = prompt.input_tokens,
       .output_tokens = dispatch::ExpectedOutputTokens(prompt),
       .queue_limit_ms = dispatch::QueueWaitLimitMs(
-          speed, ToMilliseconds(this->upstream->tightest_objective), reading,
-          this->state.typical_prefill_times[this->upstream->name].milliseconds(),
-          this->admission_context)};
+          speed, ToMilliseconds(recent_work.LimitingObjective()), prefill_ms,
+          recent_work.TypicalPrefillMs(), this->admission_context)};
   const auto placement = dispatch::PlaceAtEngine(speed, options, request);
   this->queue_limit_ms = request.queue_limit_ms;
   if (!placement) {
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -166,9 +166,6 @@
                                              .window = this->state.settings.retry_window}))
       .first->second.OnRequest(now);
   if (!this->upstream->engine) return;
-  const double input = this->facts.prompt.input_tokens;
-  this->state.typical_prefill_times[this->upstream->name].AddSample(
-      dispatch::PrefillMs(this->state.engine_speed, input, input, 0.0));
   if (this->workspace.empty()) return;
   this->share_tokens = ShareTokens(this->facts.prompt);
   WindowOf(this->state, this->workspace).asked.Add(now, this->share_tokens);
@@ -196,15 +193,16 @@
   this->wait_timer = std::make_shared<asio::steady_timer>(this->state.io);
   this->wait_timer->expires_after(hold);
   Waiter waiter;
-  waiter.rank = this->admission_context.is_caller_retry ? 1 : 0;
+  waiter.context = this->admission_context;
   waiter.try_place = [this, timer = this->wait_timer] {
     if (!this->TryPlace()) return false;
     timer->cancel();
     return true;
   };
-  const auto ticket = this->state.waiting.Add(std::move(waiter));
+  auto& queue = this->state.waiting[this->upstream->name];
+  const auto ticket = queue.Add(std::move(waiter));
   co_await this->wait_timer->async_wait(asio::as_tuple(asio::use_awaitable));
-  this->state.waiting.Remove(ticket);
+  queue.Remove(ticket);
   this->wait_timer.reset();
   if (this->caller_gone) {
     this->reservation.reset();
@@ -228,7 +226,8 @@
 
 RequestSession::Refusal RequestSession::NoCapacityRefusal() const {
   return {503, kNoRunner,
-          dispatch::RetryAfter(this->TimeLeft(), this->Draw(core::HashName("back")))};
+          dispatch::RetryAfter(this->route->objective, this->TimeLeft(), ShareWindow(this->state),
+                               this->admission_context, this->Draw(core::HashName("back")))};
 }
 
 bool RequestSession::MayRetry(AttemptEnd end) {
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -144,6 +144,8 @@
   std::shared_ptr<boost::asio::steady_timer> deadline_timer;
   std::shared_ptr<boost::asio::steady_timer> wait_timer;
   std::shared_ptr<Reservation> reservation;
+  /// True after the prompt has been recorded in the upstream's recent work.
+  bool is_work_recorded = false;
   double predicted_ms = 0.0;
   double queue_ms = 0.0;
   double cached_tokens = 0.0;
--- a/services/pomelospar_edge/reservation.cc
+++ b/services/pomelospar_edge/reservation.cc
@@ -22,13 +22,13 @@
 
 void Reservation::SubtractLoad(const dispatch::EngineLoad& returned) {
   this->held->own -= returned;
-  if (this->state.waiting.size() == 0 || this->state.placement_retry_posted) return;
+  if (CountWaiting(this->state) == 0 || this->state.placement_retry_posted) return;
   // Posted, because the waiters must not run inside a destructor. One call serves all reservations
   // that end in the same turn of the event loop.
   this->state.placement_retry_posted = true;
   boost::asio::post(this->state.io, [&state = this->state] {
     state.placement_retry_posted = false;
-    state.waiting.TryAll();
+    TryWaiting(state);
   });
 }
 
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -27,6 +27,16 @@
 
 bool AcceptsNewRequests(const Runner& runner) { return !runner.record.draining; }
 
+std::size_t CountWaiting(const RouterState& state) {
+  std::size_t count = 0;
+  for (const auto& [upstream, queue] : state.waiting) count += queue.size();
+  return count;
+}
+
+void TryWaiting(RouterState& state) {
+  for (auto& [upstream, queue] : state.waiting) queue.TryAll();
+}
+
 double ShareTokens(const dispatch::Prompt& prompt) {
   // The operator's capacity in tokens per second counts a generated token as two prompt tokens.
   constexpr double kGeneratedWeight = 2.0;
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -22,6 +22,7 @@
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/prefix_record.h"
 #include "libraries/dispatch/processor_load.h"
+#include "libraries/dispatch/recent_work.h"
 #include "libraries/dispatch/retry_allowance.h"
 #include "libraries/dispatch/runner.h"
 #include "libraries/dispatch/runner_health.h"
@@ -110,16 +111,16 @@
   double share_level = 0.0;
   /// Limits of the retries, by upstream name.
   std::unordered_map<std::string, dispatch::RetryAllowance> retries;
-  /// Typical time to prefill a prompt of this router's callers, by upstream name.
-  std::unordered_map<std::string, dispatch::TypicalPrefillTime> typical_prefill_times;
+  /// Prefill work of the recent prompts of this router's callers, by upstream name.
+  std::unordered_map<std::string, dispatch::RecentWork> recent_work;
   /// Longest time that a caller was willing to wait, by route name. A caller with clearly less
   /// time is treated as one that retries after a refusal.
   std::unordered_map<std::string, core::Duration> longest_caller_timeout;
   dispatch::CrashSuspects suspects;
   HeldBytesTotal held_bytes;
-  /// Requests that wait for a runner.
-  WaitQueue waiting;
-  /// True while a call of `waiting.TryAll` is posted to the event loop and has not run yet.
+  /// Requests that wait for a runner, by upstream name.
+  std::unordered_map<std::string, WaitQueue> waiting;
+  /// True while a call of `TryWaiting` is posted to the event loop and has not run yet.
   bool placement_retry_posted = false;
   dispatch::ProcessorLoad processor;
   /// True from the stop signal on.
@@ -146,6 +147,12 @@
 /// Returns true if the runner is not draining, so that new requests may be sent to it.
 bool AcceptsNewRequests(const Runner& runner);
 
+/// Returns how many requests wait for a runner.
+std::size_t CountWaiting(const RouterState& state);
+
+/// Tries to place the requests that wait for a runner.
+void TryWaiting(RouterState& state);
+
 /// Returns the tokens that a request adds to its workspace's demand and use.
 double ShareTokens(const dispatch::Prompt& prompt);
 
--- a/services/pomelospar_edge/wait_queue.cc
+++ b/services/pomelospar_edge/wait_queue.cc
@@ -13,8 +13,9 @@
 }  // namespace
 
 WaitQueue::Ticket WaitQueue::Add(Waiter waiter) {
-  const auto position = std::find_if(this->waiters.begin(), this->waiters.end(),
-                                     [&](const Waiter& other) { return other.rank > waiter.rank; });
+  const auto position = std::find_if(
+      this->waiters.begin(), this->waiters.end(),
+      [&](const Waiter& other) { return dispatch::IsTriedBefore(waiter.context, other.context); });
   return this->waiters.insert(position, std::move(waiter));
 }
 
--- a/services/pomelospar_edge/wait_queue.h
+++ b/services/pomelospar_edge/wait_queue.h
@@ -1,22 +1,24 @@
 #ifndef POMELOSPAR_SERVICES_POMELOSPAR_EDGE_WAIT_QUEUE_H_
 #define POMELOSPAR_SERVICES_POMELOSPAR_EDGE_WAIT_QUEUE_H_
 
-#include <cstdint>
 #include <functional>
 #include <list>
 
+#include "libraries/dispatch/admission.h"
+
 namespace pomelospar::edge {
 
 /// One request in the queue.
 struct Waiter {
-  /// Lower ranks are tried first; equal ranks in order of arrival.
-  int rank = 0;
+  /// Decides the position in the queue; see `dispatch::IsTriedBefore`.
+  dispatch::AdmissionContext context;
   /// Tries to place the request at a runner; returns true if it was placed. It is not called again
   /// after that.
   std::function<bool()> try_place;
 };
 
-/// Requests that wait because no runner had room for them, ordered by rank.
+/// Requests that wait for one upstream because none of its runners had room for them, in the order
+/// in which they are tried. Those that are equal in this order are tried in order of arrival.
 class WaitQueue {
  public:
   using Ticket = std::list<Waiter>::iterator;
