--- a/libraries/dispatch/admission.h
+++ b/libraries/dispatch/admission.h
@@ -32,26 +32,26 @@
 /// workspaces take all slots and small ones get none.
 double MaxSlotFraction(const AdmissionContext& context);
 
-/// Returns how long a request may wait in the router for a runner before it is refused. A request
-/// of a first caller waits for a part of its objective only, so that it can still meet the
-/// objective at the runner. It pays where load comes in bursts shorter than that: a caller that is
-/// refused comes back after its objective. The time of a caller's retry is short, because the next
-/// refusal is its last.
+/// Returns how long a request may wait in the router for a runner before it is refused. It answers
+/// a load that comes in bursts shorter than the objective: a request that waits out the burst is in
+/// time, and a refused one comes back after its objective. The time is a part of the objective, so
+/// that the rest is left for the runner. The objective of a caller's retry is missed already, so
+/// its time depends on the deadline only.
 core::Duration HoldLimit(core::Duration objective, core::Duration time_left,
                          const AdmissionContext& context);
 
 /// Returns true if a waiting request of a sender with `left` is tried before one with `right`.
 /// Requests that can still meet their objective go before retries of callers, then the sender that
-/// has used less of its share goes first. Without this order the requests of a workspace that
-/// floods the fleet stand before those of all others, whose time to wait then ends behind them.
+/// has used less of its share goes first. It answers a flood from one workspace: in order of
+/// arrival its requests would stand before those of all others, which would then be refused.
 bool IsTriedBefore(const AdmissionContext& left, const AdmissionContext& right);
 
-/// Returns the delay after which a refused caller should retry: when the work that keeps the
-/// engines busy now will have been prefilled. Queue limits keep it below one objective. The sender
-/// of a workspace beyond its share is told to come back when enough of its use has left the share
-/// window. It stays within the part of the remaining time that callers accept. `draw` is a uniform
-/// random number in [0, 1); it spreads the retries, so that the callers of one burst do not return
-/// as the next burst.
+/// Returns the delay after which a refused caller should retry: at most one objective, because the
+/// queue limits keep the prefill work that refuses it now below that, or the time in which enough
+/// of the use of a workspace beyond its share leaves the share window, whichever is longer. Callers
+/// accept a part of their remaining time only, which limits the delay. `draw` is a uniform random
+/// number in [0, 1); it spreads the retries, so that the callers of one burst do not return as the
+/// next burst.
 core::Duration RetryAfter(core::Duration objective, core::Duration time_left,
                           core::Duration share_window, const AdmissionContext& context,
                           double draw);
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -92,54 +92,61 @@
   options[static_cast<std::size_t>(common - candidates.begin())].expected_cached_tokens = shared;
 }
 
+dispatch::EngineRequest RequestSession::DescribeRequest(
+    std::span<const dispatch::EngineOption> options) {
+  const auto& prompt = this->facts.prompt;
+  const auto& speed = this->state.engine_speed;
+  const double uncached_tokens = dispatch::FewestUncachedTokens(options, prompt.input_tokens);
+  const double prefill_ms = dispatch::PrefillMs(speed, uncached_tokens, prompt.input_tokens, 0.0);
+  auto& recent_work = this->state.recent_work[this->upstream->name];
+  if (!std::exchange(this->is_work_recorded, true)) {
+    recent_work.AddPrompt(this->route->objective, prefill_ms);
+  }
+  return {.prompt_tokens = prompt.input_tokens,
+          .output_tokens = dispatch::ExpectedOutputTokens(prompt),
+          .queue_limit_ms = dispatch::QueueWaitLimitMs(
+              speed, ToMilliseconds(recent_work.LimitingObjective()), prefill_ms,
+              recent_work.TypicalPrefillMs(), this->admission_context)};
+}
+
 bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits) {
   const auto candidates = this->Candidates();
   if (candidates.empty()) return false;
-  const auto now = this->state.clock.now();
-  const auto& prompt = this->facts.prompt;
   this->admission_context.share_use = ShareUse(this->state, this->workspace, this->share_tokens);
   auto options = this->DescribeEngines(limits, candidates);
   this->PreferRendezvousEngine(candidates, options);
+  const auto request = this->DescribeRequest(options);
+  this->queue_limit_ms = request.queue_limit_ms;
   const auto& speed = this->state.engine_speed;
-  const double prefill_ms =
-      dispatch::PrefillMs(speed, dispatch::FewestUncachedTokens(options, prompt.input_tokens),
-                          prompt.input_tokens, 0.0);
-  auto& recent_work = this->state.recent_work[this->upstream->name];
-  if (!std::exchange(this->is_work_recorded, true)) {
-    recent_work.AddPrompt(this->route->objective, prefill_ms);
-  }
-  const dispatch::EngineRequest request = {
-      .prompt_tokens = prompt.input_tokens,
-      .output_tokens = dispatch::ExpectedOutputTokens(prompt),
-      .queue_limit_ms = dispatch::QueueWaitLimitMs(
-          speed, ToMilliseconds(recent_work.LimitingObjective()), prefill_ms,
-          recent_work.TypicalPrefillMs(), this->admission_context)};
   const auto placement = dispatch::PlaceAtEngine(speed, options, request);
-  this->queue_limit_ms = request.queue_limit_ms;
   if (!placement) {
     this->engine_rejections = dispatch::CountEngineRejections(speed, options, request);
     return false;
   }
-  auto* runner = candidates[placement->option];
   this->predicted_ms = placement->first_event_ms;
   this->queue_ms = placement->queue_ms;
-  this->cached_tokens = prompt.input_tokens - placement->prefill_tokens;
-  RecordPrefix(*runner, limits, options[placement->option].load, prompt.parts);
-  if (prompt.parts.size() > 1) {
-    this->state.recent_prefixes.push_back(
-        {runner->key, {prompt.parts.begin(), prompt.parts.end() - 1}});
+  this->cached_tokens = request.prompt_tokens - placement->prefill_tokens;
+  this->ReserveEngine(*candidates[placement->option], limits, request, placement->prefill_tokens);
+  return true;
+}
+
+void RequestSession::ReserveEngine(Runner& runner, const dispatch::EngineLimits& limits,
+                                   const dispatch::EngineRequest& request, double prefill_tokens) {
+  const auto& parts = this->facts.prompt.parts;
+  RecordPrefix(runner, limits, FleetLoad(this->state, runner), parts);
+  if (parts.size() > 1) {
+    this->state.recent_prefixes.push_back({runner.key, {parts.begin(), parts.end() - 1}});
   }
   this->reservation = std::make_shared<Reservation>(
-      this->state, runner->shared_from_this(),
-      dispatch::EngineLoad{.prefill_tokens = placement->prefill_tokens,
+      this->state, runner.shared_from_this(),
+      dispatch::EngineLoad{.prefill_tokens = prefill_tokens,
                            .active = 1.0,
                            .memory_tokens = request.prompt_tokens + request.output_tokens});
   if (!this->workspace.empty()) {
-    WindowOf(this->state, this->workspace).served.Add(now, this->share_tokens);
+    WindowOf(this->state, this->workspace).served.Add(this->state.clock.now(), this->share_tokens);
   }
-  this->state.unreported_tokens += placement->prefill_tokens;
+  this->state.unreported_tokens += prefill_tokens;
   if (this->state.on_unreported_tokens) this->state.on_unreported_tokens();
-  return true;
 }
 
 bool RequestSession::PlaceService() {
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -20,8 +20,8 @@
 using std::chrono::milliseconds;
 
 // A caller whose remaining time is less than this share of the longest one on its route is treated
-// as one that retries after a refusal: the times of first callers on a route differ by up to 15%,
-// and a caller that followed Retry-After has lost a sixth or more.
+// as one that retries after a refusal; the times of first callers on a route differ by up to 15%. A
+// caller that comes back earlier in a long deadline counts as a first caller.
 constexpr double kReturningTimeoutShare = 0.84;
 // Limit of attempts that ended before any byte was sent. If more runners than this are unreachable,
 // further attempts would hardly help.
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -73,6 +74,11 @@
   /// Chooses a runner and sets `reservation`; returns false if no runner has room.
   bool TryPlace();
   bool PlaceEngine(const dispatch::EngineLimits& limits);
+  /// Describes the prompt and its queue limit, and records its work at the first call.
+  dispatch::EngineRequest DescribeRequest(std::span<const dispatch::EngineOption> options);
+  /// Counts the prompt in the runner's load and cached prefixes and in the workspace's use.
+  void ReserveEngine(Runner& runner, const dispatch::EngineLimits& limits,
+                     const dispatch::EngineRequest& request, double prefill_tokens);
   bool PlaceService();
   std::vector<Runner*> Candidates() const;
   std::vector<dispatch::EngineOption> DescribeEngines(const dispatch::EngineLimits& limits,
