System tests: Share the set-up of one router; Dispatch, meta: Simplify a bound and the reading of times

Cause: reading the change: the set-up of test_endless_responses stood again in test_platform_path, RetryAfter guarded a division by a small number although the share that counts is at least 1, load_table parsed each time twice. Change: RouterTestCase in platform_router; the bound is the share itself; each time is parsed once. No behaviour, check or assertion changes.

--- a/libraries/dispatch/admission.cc
+++ b/libraries/dispatch/admission.cc
@@ -76,7 +76,7 @@
 core::Duration RetryAfter(core::Duration objective, core::Duration time_left,
                           core::Duration share_window, const AdmissionContext& context,
                           double draw) {
-  const double excess = std::max(1.0 - kReductionEndUse / std::max(context.share_use, 1e-9), 0.0);
+  const double excess = 1.0 - 1.0 / std::max(context.share_use, 1.0);
   const auto until_within_share = std::chrono::duration_cast<core::Duration>(share_window * excess);
   const auto forecast = std::max(objective, until_within_share);
   const auto accepted =
--- a/meta/load_table.py
+++ b/meta/load_table.py
@@ -25,6 +25,7 @@
         except ValueError:
             continue
         if entry.get("message") == "request":
+            entry["at"] = datetime.fromisoformat(entry["time"].replace("Z", "+00:00"))
             requests.append(entry)
         elif entry.get("message") == "first_event":
             first_events[entry["request"]] = entry
@@ -61,11 +62,10 @@
 
 def print_periods(requests, seconds):
     print("\nfrom_s  asked  answered  to prefill (thousand prompt tokens a second)")
-    begin = min(datetime.fromisoformat(entry["time"].replace("Z", "+00:00")) for entry in requests)
+    begin = min(entry["at"] for entry in requests)
     periods = collections.defaultdict(lambda: [0.0, 0.0, 0.0])
     for entry in requests:
-        at = datetime.fromisoformat(entry["time"].replace("Z", "+00:00")) - begin
-        sums = periods[int(at.total_seconds() // seconds)]
+        sums = periods[int((entry["at"] - begin).total_seconds() // seconds)]
         sums[0] += entry["prompt_tokens"]
         if entry["outcome"] == "answered":
             sums[1] += entry["prompt_tokens"]
--- a/tests/system/platform_router.py
+++ b/tests/system/platform_router.py
@@ -6,9 +6,11 @@
 import subprocess
 import tempfile
 import time
+import unittest
 import urllib.request
 
 from fleet import BINARIES, free_port
+from table_platform import Platform
 
 KEY = "key-1"
 # Time limits that the users require, in seconds.
@@ -148,3 +150,16 @@
     for _ in range(10):
         test.assertEqual(send(), 200)
     test.assertEqual(len(runner.requests), before)
+
+
+class RouterTestCase(unittest.TestCase):
+    """A test of one router with two engines and two plain services."""
+
+    def setUp(self):
+        self.platform = Platform()
+        self.platform.configure(3, [KEY])
+        self.engines = [self.platform.add_runner(f"i-e{n}", "engines") for n in (1, 2)]
+        self.desk = [self.platform.add_runner(f"i-d{n}", "desk") for n in (1, 2)]
+        self.router = Router(self.platform.store_port)
+        self.addCleanup(self.router.end)
+        self.assertTrue(until(self.router.is_ready, 5))
--- a/tests/system/test_endless_responses.py
+++ b/tests/system/test_endless_responses.py
@@ -7,8 +7,8 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import KEY, Router, until  # noqa: E402
-from table_platform import ENDLESS_RESPONSES, SLOW_RESPONSES, Platform  # noqa: E402
+from platform_router import RouterTestCase, until  # noqa: E402
+from table_platform import ENDLESS_RESPONSES, SLOW_RESPONSES  # noqa: E402
 
 # The smallest memory of an instance in the users' deployment sheets.
 MEMORY_LIMIT_MB = 160
@@ -24,16 +24,7 @@
     return int(line.split()[1]) * 1024 / 1e6
 
 
-class EndlessResponsesTest(unittest.TestCase):
-    def setUp(self):
-        self.platform = Platform()
-        self.platform.configure(3, [KEY])
-        self.engines = [self.platform.add_runner(f"i-e{n}", "engines") for n in (1, 2)]
-        self.desk = [self.platform.add_runner(f"i-d{n}", "desk") for n in (1, 2)]
-        self.router = Router(self.platform.store_port)
-        self.addCleanup(self.router.end)
-        self.assertTrue(until(self.router.is_ready, 5))
-
+class EndlessResponsesTest(RouterTestCase):
     # Guards against growing memory, a connection that stays open, and an endless response that counts
     # as a success, for each part of a response that can be endless.
     def test_each_response_without_end_is_closed_and_is_no_success(self):
--- a/tests/system/test_platform_path.py
+++ b/tests/system/test_platform_path.py
@@ -15,22 +15,15 @@
     DRAIN_LIMIT,
     KEY,
     REVOCATION_LIMIT,
-    Router,
+    RouterTestCase,
     check_no_new_work,
     until,
 )
-from table_platform import Platform  # noqa: E402
 
 
-class PlatformPathTest(unittest.TestCase):
+class PlatformPathTest(RouterTestCase):
     def setUp(self):
-        self.platform = Platform()
-        self.platform.configure(3, [KEY])
-        self.engines = [self.platform.add_runner(f"i-e{n}", "engines") for n in (1, 2)]
-        self.desk = [self.platform.add_runner(f"i-d{n}", "desk") for n in (1, 2)]
-        self.router = Router(self.platform.store_port)
-        self.addCleanup(self.router.end)
-        self.assertTrue(until(self.router.is_ready, 5))
+        super().setUp()
         self.count = 0
 
     def send(self, path, method="POST", key=KEY, headers=(), timeout=8):
