--- a/libraries/dispatch/processor_load.cc
+++ b/libraries/dispatch/processor_load.cc
@@ -18,6 +18,9 @@
 // New connections are sent to other instances before the open ones use up the CPU: a request takes
 // several iterations of the event loop, and each of them is as late as the timer.
 constexpr double kOverloadThresholdMs = 25.0;
+// Mean lateness before a late timer that shows that it is not a single one, after a pause of the
+// whole process for example.
+constexpr double kMinEarlierLatenessMs = 5.0;
 // The platform takes two seconds to move a caller to the next instance. This instance stays
 // unavailable for five times as long, so that the caller's connections spread over five instances.
 constexpr core::Duration kOverloadHold = std::chrono::seconds(10);
@@ -30,9 +33,14 @@
 
 void ProcessorLoad::OnTimer(core::TimePoint now, core::Duration lateness) {
   const double late = core::ToMilliseconds(lateness);
+  const bool earlier_timers_were_late = this->mean_lateness_ms > kMinEarlierLatenessMs;
   this->last_lateness_ms = late;
   this->mean_lateness_ms += kSmoothingFactor * (late - this->mean_lateness_ms);
-  if (this->mean_lateness_ms > kOverloadThresholdMs) this->overloaded_until = now + kOverloadHold;
+  const bool this_timer_is_late = late > kOverloadThresholdMs;
+  if (earlier_timers_were_late && this_timer_is_late &&
+      this->mean_lateness_ms > kOverloadThresholdMs) {
+    this->overloaded_until = now + kOverloadHold;
+  }
 }
 
 bool ProcessorLoad::IsOverloaded(core::TimePoint now) const { return now < this->overloaded_until; }
--- a/libraries/http/upstream_pool.cc
+++ b/libraries/http/upstream_pool.cc
@@ -10,8 +10,8 @@
 namespace {
 
 /// Interval at which idle connections that timed out, or that the upstream closed or sent data on,
-/// are closed.
-constexpr auto kSweepPeriod = std::chrono::seconds(1);
+/// are closed. An upstream in trouble may send without end on an idle connection until it is closed.
+constexpr auto kSweepPeriod = std::chrono::milliseconds(250);
 
 struct IdleConnection {
   std::unique_ptr<UpstreamConnection> connection;
--- a/tests/libraries/dispatch/state_test.cc
+++ b/tests/libraries/dispatch/state_test.cc
@@ -229,6 +229,18 @@
   EXPECT_FALSE(load.IsOverloaded(clock.now()));
 }
 
+// The machine pauses the process once for longer than the mean would bear, and the timers after the
+// pause are in time. The instance must not be unavailable for seconds because of it.
+TEST(ProcessorLoadTest, ToleratesOneLongPause) {
+  core::ManualClock clock;
+  ProcessorLoad load;
+  for (int timer = 0; timer < 20; ++timer) load.OnTimer(clock.now(), milliseconds(1));
+  load.OnTimer(clock.now(), milliseconds(300));
+  EXPECT_FALSE(load.IsOverloaded(clock.now()));
+  for (int timer = 0; timer < 20; ++timer) load.OnTimer(clock.now(), milliseconds(1));
+  EXPECT_FALSE(load.IsOverloaded(clock.now()));
+}
+
 // A caller sends several times what the router can serve.
 TEST(ProcessorLoadTest, ShedsAndSendsCallersAwayWhileTimersStayLate) {
   core::ManualClock clock;
