Dispatch, Edge: Copy cached prompt parts between engines instead of prefilling them again

Change: the request names an engine that has more of the prompt cached (Kv-Fetch). The speed of a copy is computed from the declared size of a token and the declared link. The choice of the engine is as before.

--- a/libraries/dispatch/placement.cc
+++ b/libraries/dispatch/placement.cc
@@ -24,6 +24,8 @@
 // another engine has cached. When all engines are busy, prefilling them again takes capacity from
 // other requests.
 constexpr double kRepeatedPrefillWeight = 3.0;
+// Time to prepare a copy between the prefix caches of two engines.
+constexpr double kCacheCopySetupMs = 5.0;
 // Prefers the router's own failure domain among equal candidates; a round trip to another domain
 // takes about a millisecond.
 constexpr double kCrossDomainCostMs = 2.0;
@@ -107,6 +109,22 @@
   return chosen.placement;
 }
 
+std::optional<CacheCopy> PlanCacheCopy(const EngineSpeed& speed,
+                                       std::span<const EngineOption> options, std::size_t chosen,
+                                       double prompt_tokens, double tokens_per_ms) {
+  if (tokens_per_ms <= 0.0) return std::nullopt;
+  CacheCopy copy = {.source = chosen};
+  for (std::size_t index = 0; index < options.size(); ++index) {
+    if (options[index].failure_rate > kMaxFailureRate) continue;
+    if (options[index].cached_tokens > options[copy.source].cached_tokens) copy.source = index;
+  }
+  copy.tokens = options[copy.source].cached_tokens - options[chosen].cached_tokens;
+  copy.saved_ms = PrefillMs(speed, copy.tokens, prompt_tokens, options[chosen].load.active) -
+                  copy.tokens / tokens_per_ms - kCacheCopySetupMs;
+  if (copy.saved_ms <= 0.0) return std::nullopt;
+  return copy;
+}
+
 EngineRejections CountEngineRejections(const EngineSpeed& speed,
                                        std::span<const EngineOption> options,
                                        const EngineRequest& request) {
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -68,6 +68,24 @@
                                              std::span<const EngineOption> options,
                                              const EngineRequest& request);
 
+/// Cached parts of a prompt that one engine copies from the prefix cache of another.
+struct CacheCopy {
+  /// Position of the engine that has the parts.
+  std::size_t source = 0;
+  double tokens = 0.0;
+  /// Time that the copy saves compared with prefilling the parts, in milliseconds.
+  double saved_ms = 0.0;
+};
+
+/// Returns what the engine at position `chosen` should copy instead of prefilling it, or nothing if
+/// no sound engine has more of the prompt in its cache or a copy takes longer. `tokens_per_ms` is
+/// the speed of a copy; 0 if the engines do not copy. It answers a load whose hot prompts are sent
+/// to further engines while the ones that have them cached are busy. The choice of the engine does
+/// not depend on it: each copy takes memory from other cached parts.
+std::optional<CacheCopy> PlanCacheCopy(const EngineSpeed& speed,
+                                       std::span<const EngineOption> options, std::size_t chosen,
+                                       double prompt_tokens, double tokens_per_ms);
+
 /// Numbers of engines that were skipped for a request, each counted under the first limit that it
 /// exceeds.
 struct EngineRejections {
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -55,6 +55,9 @@
   double memory_tokens = 0.0;
   /// Tokens per event of a stream.
   double tokens_per_event = 1.0;
+  /// Tokens per millisecond that one engine copies from the prefix cache of another; 0 if the
+  /// engines do not copy.
+  double cache_copy_tokens_per_ms = 0.0;
 };
 
 struct UpstreamPolicy {
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -118,11 +118,19 @@
   const auto request = this->DescribeRequest(options);
   this->queue_limit_ms = request.queue_limit_ms;
   const auto& speed = this->state.engine_speed;
-  const auto placement = dispatch::PlaceAtEngine(speed, options, request);
+  auto placement = dispatch::PlaceAtEngine(speed, options, request);
   if (!placement) {
     this->engine_rejections = dispatch::CountEngineRejections(speed, options, request);
     return false;
   }
+  this->cache_source.clear();
+  if (const auto copy =
+          dispatch::PlanCacheCopy(speed, options, placement->option, request.prompt_tokens,
+                                  limits.cache_copy_tokens_per_ms)) {
+    this->cache_source = candidates[copy->source]->record.address;
+    placement->prefill_tokens = std::max(placement->prefill_tokens - copy->tokens, 1.0);
+    placement->first_event_ms -= copy->saved_ms;
+  }
   this->predicted_ms = placement->first_event_ms;
   this->queue_ms = placement->queue_ms;
   this->cached_tokens = request.prompt_tokens - placement->prefill_tokens;
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -366,6 +366,7 @@
        {"predicted_ms", this->predicted_ms},
        {"share_use", this->admission_context.share_use},
        {"cached_tokens", this->cached_tokens},
+       {"cache_source", this->cache_source},
        {"prompt_tokens", this->facts.prompt.input_tokens},
        {"returning", this->admission_context.is_caller_retry},
        {"patience_ms",
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -155,6 +155,8 @@
   double predicted_ms = 0.0;
   double queue_ms = 0.0;
   double cached_tokens = 0.0;
+  /// "ip:port" of the runner from whose prefix cache the chosen one copies; empty if it does not.
+  std::string cache_source;
   double queue_limit_ms = 0.0;
   dispatch::EngineRejections engine_rejections;
   bool deadline_passed = false;
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -150,6 +150,7 @@
   options.runner_id = runner.record.id;
   options.workspace = this->workspace;
   options.time_left = this->TimeLeft();
+  options.cache_source = this->cache_source;
   if (this->stream_started) options.resume_after = this->splitter.last_id();
   this->splitter.DropRest();
   const auto request = adapter::EncodeForward(this->exchange.request(), options);
--- a/tests/libraries/dispatch/placement_test.cc
+++ b/tests/libraries/dispatch/placement_test.cc
@@ -32,6 +32,37 @@
   EXPECT_DOUBLE_EQ(placement->prefill_tokens, 6'600.0);
 }
 
+// The engines that have a hot prefix cached are busy and its next request goes to another one,
+// which copies the prefix from them in a fraction of the prefill time.
+TEST(PlanCacheCopyTest, CopiesWhatAnotherEngineHasCached) {
+  constexpr double kTokensPerMs = 460.0;
+  std::vector<EngineOption> options = {IdleEngine(), IdleEngine(), IdleEngine()};
+  options[0].cached_tokens = 400.0;
+  options[1].cached_tokens = 5'400.0;
+  options[2].cached_tokens = 6'000.0;
+  options[2].failure_rate = 0.9;
+  const auto copy = PlanCacheCopy({}, options, 0, 12'000.0, kTokensPerMs);
+  ASSERT_TRUE(copy.has_value());
+  EXPECT_EQ(copy->source, 1U);
+  EXPECT_DOUBLE_EQ(copy->tokens, 5'000.0);
+  EXPECT_LT(copy->saved_ms, PrefillMs({}, copy->tokens, 12'000.0, 0.0));
+  EXPECT_GT(copy->saved_ms, 0.0);
+}
+
+TEST(PlanCacheCopyTest, PrefillsWhereACopySavesNothing) {
+  std::vector<EngineOption> options = {IdleEngine(), IdleEngine()};
+  EXPECT_FALSE(PlanCacheCopy({}, options, 0, 12'000.0, 460.0).has_value());
+  options[1].cached_tokens = 5'400.0;
+  // These engines do not copy, or copy no faster than they prefill.
+  EXPECT_FALSE(PlanCacheCopy({}, options, 0, 12'000.0, 0.0).has_value());
+  EXPECT_FALSE(PlanCacheCopy({}, options, 0, 12'000.0, 50.0).has_value());
+  // The chosen engine has all of it.
+  EXPECT_FALSE(PlanCacheCopy({}, options, 1, 12'000.0, 460.0).has_value());
+  // The set-up of a copy takes longer than the prefill of a few tokens.
+  options[1].cached_tokens = 100.0;
+  EXPECT_FALSE(PlanCacheCopy({}, options, 0, 12'000.0, 460.0).has_value());
+}
+
 // A popular prefix must not queue all its requests at one engine while others are idle.
 TEST(PlaceAtEngineTest, AvoidsAnEngineWhoseQueueIsTooLong) {
   std::vector<EngineOption> options = {IdleEngine(), IdleEngine()};
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -20,7 +20,8 @@
    "max-attempts":2,"public":false,"sticky":true,"resumable":true,"gap-aim-ms":250},
   {"name":"r-2","host":"a.example","prefix":"/b/","route-kind":"non_idempotent","timeout-ms":800,
    "goal-ms":150,"service":"s2","max-attempts":1,"public":true}],
-  "services":[{"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":953186,"stride":5}},
+  "services":[{"name":"s1","max-conns":620,"engine":{"slots":128,"kv-capacity":953186,"stride":5,
+    "kv-token-bytes":35136,"link-mbps":130000.0}},
    {"name":"s2","max-conns":100}],
   "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
    "idle-timeout-ms":15000,"tokens-per-s":410000},
@@ -48,6 +49,10 @@
   EXPECT_FALSE(value.upstreams.at("s2").engine.has_value());
   EXPECT_EQ(dispatch::FindWorkspace(value, "k2")->name, "hule");
   EXPECT_EQ(dispatch::FindWorkspace(value, "k3"), nullptr);
+  const auto& engine = value.upstreams.at("s1").engine;
+  ASSERT_TRUE(engine.has_value());
+  // 130 Gbit/s are 16.25 million bytes a millisecond.
+  EXPECT_NEAR(engine->cache_copy_tokens_per_ms, 16.25e6 / 35'136.0, 1e-9);
 }
 
 // A stream that cannot be resumed must not be sent again: its caller would get the same events
@@ -208,6 +213,16 @@
   EXPECT_EQ(Header(forward, "Last-Event-Id"), "31");
 }
 
+// The cache source of a caller would name any address; only the router's own is sent.
+TEST(EncodeForwardTest, NamesTheCacheSourceOfTheRouterOnly) {
+  auto request = CallerRequest();
+  request.headers.push_back({"Kv-Fetch", "192.0.2.1:1"});
+  EXPECT_EQ(Header(EncodeForward(request, {.runner_id = "i-1"}), "Kv-Fetch"), std::nullopt);
+  const auto forward =
+      EncodeForward(request, {.runner_id = "i-1", .cache_source = "10.0.0.9:8080"});
+  EXPECT_EQ(Header(forward, "Kv-Fetch"), "10.0.0.9:8080");
+}
+
 // Guards against a refusal that counts as not executed although the runner did not say so: the
 // request would be sent again and could be executed twice.
 TEST(DecodeResponseTest, TellsWhatDidNotRun) {
