Dispatch, Edge: Count a request once in its workspace's use; withdraw refused proposals quietly

A quarter of the engines had crashed; each request was placed at several dead ones, and each placement added its tokens to the served ones, which then exceeded all demand. Change: a request counts once, and not if it is refused in the end. A proposal that the coordinator refused no longer makes a report and a try of the waiting requests. The log line of a request tells its proposals. Hashes of a request are computed once; the limits that closed the engines are counted at the refusal only. After a pause of the process the reply is read before the coordinator counts as silent.

--- a/libraries/core/identifiers.h
+++ b/libraries/core/identifiers.h
@@ -33,6 +33,12 @@
 /// Mixes two hashes into one, for rendezvous scores and hash-map keys.
 std::uint64_t CombineHashes(std::uint64_t first, std::uint64_t second);
 
+/// Returns the hash as a pseudo-random number in [0, 1).
+inline double UnitFraction(std::uint64_t hash) {
+  constexpr double kScale = 1.0 / static_cast<double>(1ULL << 53U);
+  return static_cast<double>(hash >> 11U) * kScale;
+}
+
 /// One run of a router process. The address is "ip:port" of its control listener; the incarnation
 /// is drawn at random at start, so that a restarted router is a different identity.
 struct RouterIdentity {
--- a/libraries/dispatch/prefix_record.cc
+++ b/libraries/dispatch/prefix_record.cc
@@ -4,11 +4,20 @@
 
 namespace pomelospar::dispatch {
 
-double PrefixRecord::CachedTokens(std::span<const PromptPart> parts) const {
-  double tokens = 0.0;
+std::vector<std::uint64_t> PrefixHashes(std::span<const PromptPart> parts) {
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(parts.size());
   std::uint64_t prefix_hash = 0;
   for (const auto& part : parts) {
     prefix_hash = core::CombineHashes(prefix_hash, part.id);
+    hashes.push_back(prefix_hash);
+  }
+  return hashes;
+}
+
+double PrefixRecord::CachedTokens(std::span<const std::uint64_t> prefix_hashes) const {
+  double tokens = 0.0;
+  for (const auto prefix_hash : prefix_hashes) {
     const auto found = this->entries.find(prefix_hash);
     if (found == this->entries.end()) break;
     tokens += found->second->tokens;
--- a/libraries/dispatch/prefix_record.h
+++ b/libraries/dispatch/prefix_record.h
@@ -5,17 +5,22 @@
 #include <list>
 #include <span>
 #include <unordered_map>
+#include <vector>
 
 #include "libraries/dispatch/prompt.h"
 
 namespace pomelospar::dispatch {
 
+/// Returns one hash for each part of a prompt: that of the part and all parts before it.
+std::vector<std::uint64_t> PrefixHashes(std::span<const PromptPart> parts);
+
 /// Estimates the content of a runner's prefix cache from the prompts that the router knows were
 /// sent to it. Beyond the capacity the least recently used parts are dropped, as engines do.
 class PrefixRecord {
  public:
   /// Returns the number of tokens in the leading parts of the prompt that the runner has cached.
-  double CachedTokens(std::span<const PromptPart> parts) const;
+  /// `prefix_hashes` are those of the prompt.
+  double CachedTokens(std::span<const std::uint64_t> prefix_hashes) const;
   /// Records that the runner prefills these parts. `capacity_tokens` is the capacity of its cache.
   void Insert(std::span<const PromptPart> parts, double capacity_tokens);
   /// Empties the record after a restart of the runner, which empties its cache.
--- a/libraries/dispatch/share_window.cc
+++ b/libraries/dispatch/share_window.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 #include <vector>
 
 namespace pomelospar::dispatch {
@@ -29,6 +30,16 @@
   return sum;
 }
 
+void RequestUse::Count(SlidingSum& served, core::TimePoint now) {
+  if (std::exchange(this->is_counted, true)) return;
+  served.Add(now, this->tokens);
+}
+
+void RequestUse::TakeBack(SlidingSum& served, core::TimePoint now) {
+  if (!std::exchange(this->is_counted, false)) return;
+  served.Add(now, -this->tokens);
+}
+
 double MaxMinLevel(std::span<const double> demands, double capacity) {
   std::vector<double> sorted(demands.begin(), demands.end());
   std::sort(sorted.begin(), sorted.end());
--- a/services/pomelospar_edge/engine_coordinator.cc
+++ b/services/pomelospar_edge/engine_coordinator.cc
@@ -1,6 +1,7 @@
 #include "services/pomelospar_edge/engine_coordinator.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 #include <utility>
@@ -72,6 +73,11 @@
   this->pending.emplace(proposal.id, waiting);
   waiting->timer.expires_after(kReplyTimeout);
   co_await waiting->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  // After a pause of this process the reply may be in the socket; one turn of the event loop reads
+  // it.
+  if (!waiting->reply) {
+    co_await boost::asio::post(this->state.io, boost::asio::use_awaitable);
+  }
   this->pending.erase(proposal.id);
   const auto now = this->state.clock.now();
   if (!waiting->reply) {
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -46,7 +46,8 @@
 
 double RequestSession::EstimateUnreportedWorkMs(const Runner& runner) const {
   if (!this->state.is_large_fleet) return 0.0;
-  return dispatch::UnreportedWorkMs(kMeanUnreportedWorkMs, 1.0 - this->Draw(runner.key));
+  const double draw = core::UnitFraction(core::CombineHashes(runner.key, this->attempt_hash));
+  return dispatch::UnreportedWorkMs(kMeanUnreportedWorkMs, 1.0 - draw);
 }
 
 std::vector<dispatch::EngineOption> RequestSession::DescribeEngines(
@@ -60,7 +61,7 @@
     options.push_back({.load = FleetLoad(this->state, *runner, now),
                        .slowdown = runner->health.slowdown(now),
                        .failure_rate = runner->health.failure_rate(now),
-                       .cached_tokens = runner->prefixes.CachedTokens(this->facts.prompt.parts),
+                       .cached_tokens = runner->prefixes.CachedTokens(this->prefix_hashes),
                        .memory_capacity = limits.memory_tokens,
                        .slots = static_cast<double>(runner->record.slots) * slot_share,
                        .usable_fraction =
@@ -112,17 +113,15 @@
 bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits) {
   const auto candidates = this->Candidates();
   if (candidates.empty()) return false;
-  this->admission_context.share_use = ShareUse(this->state, this->workspace, this->share_tokens);
+  this->admission_context.share_use =
+      ShareUse(this->state, this->workspace, this->use.uncounted_tokens());
   auto options = this->DescribeEngines(limits, candidates);
   this->PreferRendezvousEngine(candidates, options);
   const auto request = this->DescribeRequest(options);
   this->queue_limit_ms = request.queue_limit_ms;
   const auto& speed = this->state.engine_speed;
   auto placement = dispatch::PlaceAtEngine(speed, options, request);
-  if (!placement) {
-    this->engine_rejections = dispatch::CountEngineRejections(speed, options, request);
-    return false;
-  }
+  if (!placement) return false;
   this->cache_source.clear();
   if (const auto copy =
           dispatch::PlanCacheCopy(speed, options, placement->option, request.prompt_tokens,
@@ -140,6 +139,13 @@
   return true;
 }
 
+dispatch::EngineRejections RequestSession::CountRejections() {
+  if (!this->upstream->engine) return {};
+  const auto options = this->DescribeEngines(*this->upstream->engine, this->Candidates());
+  return dispatch::CountEngineRejections(this->state.engine_speed, options,
+                                         this->DescribeRequest(options));
+}
+
 void RequestSession::ReserveEngine(Runner& runner, const dispatch::EngineRequest& request,
                                    double prefill_tokens) {
   this->reservation = std::make_shared<Reservation>(
@@ -152,9 +158,10 @@
 boost::asio::awaitable<bool> RequestSession::ConfirmPlacement() {
   // Under a load that changes this fast no engine stays as it was seen; the router then follows its
   // own view.
-  constexpr unsigned kMaxProposals = 8;
+  constexpr unsigned kMaxProposals = 6;
   if (!this->upstream->engine || !this->state.confirm_placement) co_return true;
-  if (++this->proposals > kMaxProposals) co_return true;
+  if (this->proposals == kMaxProposals) co_return true;
+  ++this->proposals;
   co_return co_await this->state.confirm_placement(this->reservation->runner().shared_from_this(),
                                                    this->proposal);
 }
@@ -169,7 +176,7 @@
     this->state.recent_prefixes.push_back({runner.key, {parts.begin(), parts.end() - 1}});
   }
   if (!this->workspace.empty()) {
-    WindowOf(this->state, this->workspace).served.Add(now, this->share_tokens);
+    this->use.Count(WindowOf(this->state, this->workspace).served, now);
   }
   this->state.unreported_tokens += this->proposal.prefill_tokens;
   if (this->state.on_unreported_tokens) this->state.on_unreported_tokens();
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -49,6 +49,8 @@
 asio::awaitable<void> RequestSession::Run() {
   std::string malformed;
   this->facts = adapter::DecodeRequest(this->exchange.request(), malformed);
+  this->attempt_hash = core::HashName(this->facts.attempt_id);
+  this->prefix_hashes = dispatch::PrefixHashes(this->facts.prompt.parts);
   if (!malformed.empty()) {
     this->state.log.Write(LogLevel::kWarning, "malformed_header",
                           {{"request", this->facts.attempt_id}, {"header", malformed}});
@@ -167,8 +169,8 @@
       .first->second.OnRequest(now);
   if (!this->upstream->engine) return;
   if (this->workspace.empty()) return;
-  this->share_tokens = ShareTokens(this->facts.prompt);
-  WindowOf(this->state, this->workspace).asked.Add(now, this->share_tokens);
+  this->use = dispatch::RequestUse(ShareTokens(this->facts.prompt));
+  WindowOf(this->state, this->workspace).asked.Add(now, this->use.all_tokens());
 }
 
 void RequestSession::OnDeadline() {
@@ -209,7 +211,10 @@
     if (!this->TryPlace() && this->state.clock.now() < until) co_await this->WaitInQueue(until);
     if (!this->reservation || this->caller_gone || this->deadline_passed) break;
     is_confirmed = co_await this->ConfirmPlacement();
-    if (!is_confirmed) this->reservation.reset();
+    if (!is_confirmed) {
+      this->reservation->Cancel();
+      this->reservation.reset();
+    }
   }
   if (this->caller_gone) {
     this->reservation.reset();
@@ -228,6 +233,7 @@
   if (this->may_have_run || this->stream_started || this->error_response) {
     co_await this->EndUnserved(AttemptEnd::kNoResponse);
   } else {
+    this->engine_rejections = this->CountRejections();
     const auto refusal = this->NoCapacityRefusal();
     co_await this->Refuse(refusal);
   }
@@ -308,6 +314,9 @@
 }
 
 asio::awaitable<void> RequestSession::Refuse(Refusal refusal) {
+  if (!this->workspace.empty()) {
+    this->use.TakeBack(WindowOf(this->state, this->workspace).served, this->state.clock.now());
+  }
   http::HttpResponse response;
   response.status = refusal.status;
   response.headers = {{"Content-Type", "application/json"}};
@@ -342,9 +351,7 @@
 }
 
 double RequestSession::Draw(std::uint64_t purpose) const {
-  const auto hash = core::CombineHashes(purpose, core::HashName(this->facts.attempt_id));
-  constexpr double kScale = 1.0 / static_cast<double>(1ULL << 53U);
-  return static_cast<double>(hash >> 11U) * kScale;
+  return core::UnitFraction(core::CombineHashes(purpose, this->attempt_hash));
 }
 
 void RequestSession::LogEnd(unsigned status, std::string_view outcome, std::string_view reason) {
@@ -374,6 +381,7 @@
        {"long_queue", std::uint64_t{this->engine_rejections.queue}},
        {"would_repeat", std::uint64_t{this->engine_rejections.repeated_prefill}},
        {"predicted_ms", this->predicted_ms},
+       {"proposals", std::uint64_t{this->proposals}},
        {"share_use", this->admission_context.share_use},
        {"cached_tokens", this->cached_tokens},
        {"cache_source", this->cache_source},
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -13,6 +13,7 @@
 
 #include "libraries/dispatch/admission.h"
 #include "libraries/dispatch/placement.h"
+#include "libraries/dispatch/share_window.h"
 #include "libraries/http/server_exchange.h"
 #include "libraries/http/upstream_pool.h"
 #include "platform/request_headers.h"
@@ -78,6 +79,8 @@
   bool PlaceEngine(const dispatch::EngineLimits& limits);
   /// Describes the prompt and its queue limit, and records its work at the first call.
   dispatch::EngineRequest DescribeRequest(std::span<const dispatch::EngineOption> options);
+  /// Numbers of engines by the limit that closes them to this request, for the log.
+  dispatch::EngineRejections CountRejections();
   /// Counts the request in the runner's load.
   void ReserveEngine(Runner& runner, const dispatch::EngineRequest& request, double prefill_tokens);
   /// Returns false if the coordinator of the engine knows that it is busier than assumed.
@@ -141,6 +144,9 @@
   http::UpstreamPool& pool;
   http::ServerExchange& exchange;
   adapter::RequestFacts facts;
+  std::uint64_t attempt_hash = 0;
+  /// See `dispatch::PrefixHashes`. Computed once, because they are looked up for each engine.
+  std::vector<std::uint64_t> prefix_hashes;
   core::TimePoint received;
   core::TimePoint deadline;
 
@@ -150,7 +156,7 @@
   std::string workspace;
   const dispatch::UpstreamPolicy* upstream = nullptr;
   dispatch::AdmissionContext admission_context;
-  double share_tokens = 0.0;
+  dispatch::RequestUse use{0.0};
 
   std::shared_ptr<boost::asio::steady_timer> deadline_timer;
   std::shared_ptr<boost::asio::steady_timer> wait_timer;
--- a/services/pomelospar_edge/reservation.cc
+++ b/services/pomelospar_edge/reservation.cc
@@ -11,7 +11,14 @@
   this->held->own += this->amount;
 }
 
-Reservation::~Reservation() { this->SubtractLoad(this->amount); }
+Reservation::~Reservation() {
+  if (this->amount.active > 0.0) this->SubtractLoad(this->amount);
+}
+
+void Reservation::Cancel() {
+  this->held->own -= this->amount;
+  this->amount = {};
+}
 
 void Reservation::OnPromptPrefilled() {
   if (this->amount.prefill_tokens <= 0.0) return;
--- a/services/pomelospar_edge/reservation.h
+++ b/services/pomelospar_edge/reservation.h
@@ -22,6 +22,10 @@
 
   /// Call when the runner has prefilled the prompt: subtracts the tokens still to be prefilled.
   void OnPromptPrefilled();
+  /// Call instead of waiting for the destructor if the request was not sent: subtracts the load
+  /// without a report to the coordinator, which does not count it, and without trying the waiting
+  /// requests, for which the runner has no more room than before.
+  void Cancel();
   Runner& runner() const { return *this->held; }
 
  private:
