--- a/libraries/http/upstream_pool.cc
+++ b/libraries/http/upstream_pool.cc
@@ -10,7 +10,8 @@
 namespace {
 
 /// Interval at which idle connections that timed out, or that the upstream closed or sent data on,
-/// are closed. An upstream in trouble may send without end on an idle connection until it is closed.
+/// are closed. An upstream in trouble may send on an idle connection without end until it is
+/// closed.
 constexpr auto kSweepPeriod = std::chrono::milliseconds(250);
 
 struct IdleConnection {
