Dispatch, Http: Limit a pause of accepting to 250 ms; Edge: Read queued datagrams in one turn

Change: the pause of accepting is back and ends after 250 ms; queued datagrams are read in one turn. The tests of the pause are back with the limit as a further check.

--- a/libraries/dispatch/processor_load.cc
+++ b/libraries/dispatch/processor_load.cc
@@ -25,12 +25,18 @@
 // unavailable for five times as long, so that the caller's connections spread over five instances.
 constexpr core::Duration kOverloadHold = std::chrono::seconds(10);
 constexpr double kMaxShedFraction = 0.95;
+// A request takes about five iterations of the event loop until it is sent to a runner. With
+// iterations of this length that is half of a usual objective of 500 ms.
+constexpr double kMaxAcceptLatenessMs = 50.0;
+// Half of a usual objective.
+constexpr core::Duration kMaxAcceptPause = std::chrono::milliseconds(250);
 
 }  // namespace
 
 void ProcessorLoad::OnTimer(core::TimePoint now, core::Duration lateness) {
   const double late = core::ToMilliseconds(lateness);
   const bool earlier_timers_were_late = this->mean_lateness_ms > kMinEarlierLatenessMs;
+  this->last_lateness_ms = late;
   this->mean_lateness_ms += kSmoothingFactor * (late - this->mean_lateness_ms);
   const bool this_timer_is_late = late > kOverloadThresholdMs;
   if (earlier_timers_were_late && this_timer_is_late &&
@@ -48,4 +54,9 @@
   return std::clamp(beyond, 0.0, 1.0) * kMaxShedFraction;
 }
 
+bool ProcessorLoad::MayAccept(core::Duration overdue, core::Duration paused) const {
+  return paused >= kMaxAcceptPause ||
+         std::max(this->last_lateness_ms, core::ToMilliseconds(overdue)) <= kMaxAcceptLatenessMs;
+}
+
 }  // namespace pomelospar::dispatch
--- a/libraries/dispatch/processor_load.h
+++ b/libraries/dispatch/processor_load.h
@@ -19,10 +19,17 @@
   /// Returns the fraction of new requests to shed, from 0 to 1. `overdue` is the time since the
   /// timer was due; zero or less if it is not due yet.
   double ShedFraction(core::Duration overdue) const;
+  /// Returns false while accepted work is late, for a limited time: `paused` is the time for which
+  /// nothing was accepted. During the pause the accepted work catches up and no CPU time is spent
+  /// on refusing connections that could be served a moment later. A longer one would leave callers
+  /// without an answer: a connection for which the listen queue has no room is tried again by its
+  /// caller's system after seconds.
+  bool MayAccept(core::Duration overdue, core::Duration paused) const;
   double lateness_ms() const { return this->mean_lateness_ms; }
 
  private:
   double mean_lateness_ms = 0.0;
+  double last_lateness_ms = 0.0;
   core::TimePoint overloaded_until{};
 };
 
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -31,6 +31,8 @@
 /// requests in progress continue. It is about as large as a usual listen queue: a connection for
 /// which the queue has no room is tried again by its caller's system after seconds.
 constexpr std::size_t kMaxAcceptsPerTurn = 128;
+/// Interval at which `may_accept` is polled while it returns false.
+constexpr auto kMayAcceptPollInterval = std::chrono::milliseconds(20);
 
 std::string RemoteAddress(const tcp::socket& socket) {
   boost::system::error_code error;
@@ -71,6 +73,10 @@
                    [connection](const std::exception_ptr&) {});
   }
 
+  bool MayAccept(core::Duration paused) const {
+    return this->server->stopping || !this->options.may_accept || this->options.may_accept(paused);
+  }
+
   /// Accepts up to `most` connections that are already queued. If each iteration of the event loop
   /// accepted only one, new callers would time out under load.
   void AcceptQueued(std::size_t most) {
@@ -92,6 +98,11 @@
   static asio::awaitable<void> AcceptLoop(std::shared_ptr<State> state) {
     asio::steady_timer pause(state->acceptor.get_executor());
     while (state->acceptor.is_open()) {
+      const auto paused_at = std::chrono::steady_clock::now();
+      while (!state->MayAccept(std::chrono::steady_clock::now() - paused_at)) {
+        pause.expires_after(kMayAcceptPollInterval);
+        co_await pause.async_wait(kTuple);
+      }
       auto [error, socket] = co_await state->acceptor.async_accept(kTuple);
       if (!state->acceptor.is_open()) break;
       if (error) {
--- a/libraries/http/server_options.h
+++ b/libraries/http/server_options.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "libraries/core/clock.h"
@@ -39,6 +40,10 @@
   /// PEM files. TLS is used if both are set.
   std::string certificate_file;
   std::string key_file;
+  /// Called before connections are accepted, with the time since accepting was paused. While it
+  /// returns false, new connections wait in the listen queue of the system. If null, connections
+  /// are always accepted.
+  std::function<bool(core::Duration)> may_accept;
 };
 
 }  // namespace pomelospar::http
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -88,7 +88,8 @@
       this->caller_server,
       http::HttpServer::Create(
           this->io,
-          {.address = settings.caller_address},
+          {.address = settings.caller_address,
+           .may_accept = [this](core::Duration paused) { return this->MayAccept(paused); }},
           [this](http::ServerExchange& exchange) { return this->Serve(exchange); }));
   this->ApplyCallerLimits();
   BOOST_OUTCOME_TRY(this->readiness_server,
@@ -190,6 +191,7 @@
                    {"requests", std::uint64_t{this->caller_server->active_exchanges()}},
                    {"waiting", std::uint64_t{CountWaiting(this->state)}},
                    {"lateness_ms", this->state.processor.lateness_ms()},
+                   {"accepting", this->MayAccept(core::Duration::zero())},
                    {"peers", std::uint64_t{this->state.peers.size()}},
                    {"runners", std::uint64_t{this->state.runners.size()}},
                    {"share_level", this->state.share_level},
@@ -232,6 +234,10 @@
   return this->state.clock.now() - this->tick_timer.expiry();
 }
 
+bool Edge::MayAccept(core::Duration paused) const {
+  return this->state.stopping || this->state.processor.MayAccept(this->TickOverdue(), paused);
+}
+
 // Spreads the refusals evenly over the requests instead of drawing them at random.
 bool Edge::MustShedNext() {
   this->shed_accumulator += this->state.processor.ShedFraction(this->TickOverdue());
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -46,6 +46,8 @@
   bool IsReady() const;
   /// Returns the time since the next tick was due; negative if it is not due yet.
   core::Duration TickOverdue() const;
+  /// Returns true if caller connections may be accepted after a pause of accepting of this length.
+  bool MayAccept(core::Duration paused) const;
   /// Returns true if the next request is to be refused because the process is overloaded.
   bool MustShedNext();
   boost::asio::awaitable<void> Serve(http::ServerExchange& exchange);
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -38,6 +38,9 @@
 constexpr core::Duration kLargeFleetPeriod = milliseconds(250);
 // In a large fleet, every second report is also sent to other failure domains.
 constexpr std::uint64_t kReportsPerRemoteReport = 2;
+// Number of queued datagrams read in one iteration of the event loop. Under load an iteration takes
+// up to a few hundred milliseconds, in which about 200 datagrams arrive in a large fleet.
+constexpr std::size_t kMaxDatagramsPerTurn = 256;
 // A router without a report for this time is taken as disconnected or stopped.
 constexpr core::Duration kReportLifetime = milliseconds(2200);
 
@@ -129,11 +132,19 @@
 bool PeerExchange::IsLargeFleet() const { return this->addresses.size() > kMaxSmallFleetPeers; }
 
 asio::awaitable<void> PeerExchange::ReceiveLoop() {
-  udp::endpoint sender;
   while (this->socket.is_open()) {
-    const auto [error, size] =
-        co_await this->socket.async_receive_from(asio::buffer(this->buffer), sender, kTuple);
-    if (!error) this->Receive(std::string_view(this->buffer.data(), size), sender);
+    const auto [error] = co_await this->socket.async_wait(udp::socket::wait_read, kTuple);
+    if (!error) this->ReceiveQueued();
+  }
+}
+
+void PeerExchange::ReceiveQueued() {
+  udp::endpoint sender;
+  boost::system::error_code error;
+  for (std::size_t count = 0; count < kMaxDatagramsPerTurn; ++count) {
+    const auto size = this->socket.receive_from(asio::buffer(this->buffer), sender, 0, error);
+    if (error) return;
+    this->Receive(std::string_view(this->buffer.data(), size), sender);
   }
 }
 
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -71,6 +71,10 @@
  private:
   PeerExchange(RouterState& state, boost::asio::ip::udp::socket socket);
   boost::asio::awaitable<void> ReceiveLoop();
+  /// Reads the datagrams that have arrived, up to a limit. Reading one in each iteration of the
+  /// event loop would leave replies and news behind a queue of old reports while the process is
+  /// busy.
+  void ReceiveQueued();
   boost::asio::awaitable<void> SendLoop();
   void SendReports();
   void SendTo(const std::string& name, const PeerAddress& peer, std::string_view datagram);
--- a/tests/libraries/dispatch/state_test.cc
+++ b/tests/libraries/dispatch/state_test.cc
@@ -409,5 +409,22 @@
   EXPECT_DOUBLE_EQ(load.ShedFraction(milliseconds(88)), 0.0);
 }
 
+// A caller opens connections faster than the router serves them. They stay unaccepted while an
+// iteration of the event loop is late and are accepted as soon as one is in time, so that the CPU
+// is never idle while connections wait; and after a limited time in any case, so that no caller
+// waits until its deadline.
+TEST(ProcessorLoadTest, PausesAcceptingWhileAcceptedWorkIsLate) {
+  core::ManualClock clock;
+  ProcessorLoad load;
+  const auto not_paused = milliseconds(0);
+  EXPECT_TRUE(load.MayAccept(milliseconds(0), not_paused));
+  EXPECT_FALSE(load.MayAccept(milliseconds(200), not_paused));
+  for (int timer = 0; timer < 10; ++timer) load.OnTimer(clock.now(), milliseconds(250));
+  EXPECT_FALSE(load.MayAccept(milliseconds(0), milliseconds(249)));
+  EXPECT_TRUE(load.MayAccept(milliseconds(0), milliseconds(250)));
+  load.OnTimer(clock.now(), milliseconds(0));
+  EXPECT_TRUE(load.MayAccept(milliseconds(0), not_paused));
+}
+
 }  // namespace
 }  // namespace pomelospar::dispatch
--- a/tests/libraries/http/server_test.cc
+++ b/tests/libraries/http/server_test.cc
@@ -312,6 +312,24 @@
                       });
 }
 
+// An overloaded server must stop accepting and must resume afterwards: a connection stays in the
+// listen queue while `may_accept` returns false, and is served once it returns true.
+TEST_F(ServerTest, LeavesConnectionsWaitingWhileItMayNotAccept) {
+  bool may_accept = false;
+  auto options = QuickOptions();
+  options.may_accept = [&](core::Duration) { return may_accept; };
+  this->Start(std::move(options), this->Echo());
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    const auto connection = co_await RawConnection::Connect(this->server->address());
+    co_await connection->Send(std::string(kGet));
+    co_await Pause(std::chrono::milliseconds(100));
+    EXPECT_EQ(this->server->connections(), 0U);
+    may_accept = true;
+    EXPECT_THAT(co_await connection->ReadUntil("/x|"), HasSubstr("200 OK"));
+    EXPECT_EQ(this->handled, 1U);
+  });
+}
+
 // A caller opens many connections while an iteration of the event loop is long. All of them must be
 // accepted in the next one: a full listen queue drops further connections, which are tried again
 // after seconds only.
--- /dev/null
+++ b/tests/system/test_connection_flood.py
@@ -0,0 +1,84 @@
+"""One caller opens far more connections to a router than the router has processor time for."""
+
+import asyncio
+import os
+import signal
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from platform_router import KEY, RouterTestCase, caller_headers  # noqa: E402
+
+CONNECTIONS = 800
+CONNECTIONS_PER_SECOND = 400
+DEADLINE_SECONDS = 5.0
+# Quota of a small instance: seconds of processor time in each period.
+QUOTA_SECONDS = 0.012
+PERIOD_SECONDS = 0.1
+
+
+class ProcessorQuota:
+    """Lets a process run for a part of each period only, as a processor quota does."""
+
+    def __init__(self, process):
+        self.process = process
+        self.done = threading.Event()
+        self.thread = threading.Thread(target=self.enforce)
+
+    def enforce(self):
+        while not self.done.is_set():
+            self.process.send_signal(signal.SIGCONT)
+            time.sleep(QUOTA_SECONDS)
+            self.process.send_signal(signal.SIGSTOP)
+            self.done.wait(PERIOD_SECONDS - QUOTA_SECONDS)
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.done.set()
+        self.thread.join()
+        self.process.send_signal(signal.SIGCONT)
+
+
+class ConnectionFloodTest(RouterTestCase):
+    # Guards against callers whose connections stay in the listen queue until their deadline: they are
+    # neither served nor told to try another router.
+    def test_every_caller_is_answered_before_its_deadline(self):
+        with ProcessorQuota(self.router.process):
+            statuses = asyncio.run(self.flood())
+        self.assertEqual(statuses.count(None), 0)
+        self.assertLessEqual(set(statuses), {200, 503})
+        self.assertGreater(statuses.count(200), 0)
+
+    async def flood(self):
+        """Returns the status that each caller got, or None if it got none before its deadline."""
+        callers = []
+        for number in range(CONNECTIONS):
+            callers.append(asyncio.create_task(self.call(number)))
+            await asyncio.sleep(1 / CONNECTIONS_PER_SECOND)
+        return await asyncio.gather(*callers)
+
+    async def call(self, number):
+        try:
+            return await asyncio.wait_for(self.status_of(number), DEADLINE_SECONDS)
+        except asyncio.TimeoutError:
+            return None
+
+    async def status_of(self, number):
+        headers = caller_headers(f"attempt-{number}", KEY) | {"Content-Length": "0"}
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        reader, writer = await asyncio.open_connection(self.router.ip, self.router.caller_port)
+        try:
+            writer.write("\r\n".join(["POST /s/1 HTTP/1.1", *lines, "", ""]).encode())
+            head = await reader.readline()
+            return int(head.split()[1])
+        finally:
+            writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
