Edge tests: Queued datagrams are read in one turn

Cause: the change that reads them had no test of its own. Change: PeerExchangeTest.ReadsAllQueuedDatagramsInOneTurn, 100 reports that arrive while the event loop is busy.

--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -1,14 +1,18 @@
 #include <gmock/gmock.h>
 #include <rapidcheck/gtest.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "libraries/http/byte_stream.h"
 #include "libraries/wire/fleet_keys.h"
 #include "services/pomelospar_edge/event_splitter.h"
 #include "services/pomelospar_edge/held_bytes.h"
+#include "services/pomelospar_edge/peer_exchange.h"
 #include "services/pomelospar_edge/peer_message.h"
 #include "services/pomelospar_edge/router_state.h"
 #include "services/pomelospar_edge/wait_queue.h"
@@ -222,6 +226,33 @@
   EXPECT_DOUBLE_EQ(state.share_level, 1500.0);
 }
 
+// While a router is busy, an iteration of its event loop takes so long that many reports arrive.
+// Guards against a reply or news of a draining runner that waits behind them for as many
+// iterations.
+TEST(PeerExchangeTest, ReadsAllQueuedDatagramsInOneTurn) {
+  constexpr std::size_t kReports = 100;
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::BufferedLog log(-1, clock.clock());
+  adapter::InstanceSettings settings;
+  settings.ip = "127.0.0.1";
+  RouterState state(io, clock.clock(), settings, log);
+  auto exchange = std::move(PeerExchange::Create(state).value());
+  exchange->SetKey(std::string(wire::kMinimumSecretBytes, 'k'));
+  exchange->Start();
+  io.poll();
+  const auto address = http::ParseEndpoint(exchange->address()).value();
+  const boost::asio::ip::udp::endpoint target(address.address(), address.port());
+  boost::asio::ip::udp::socket sender(io, boost::asio::ip::udp::v4());
+  for (std::size_t report = 0; report < kReports; ++report) {
+    auto content = Report();
+    content.sender = "10.0.0." + std::to_string(report);
+    sender.send_to(boost::asio::buffer(EncodeSignedReport(content, Key())), target);
+  }
+  while (state.peers.size() == 0) io.run_one();
+  EXPECT_EQ(state.peers.size(), kReports);
+}
+
 // Guards against requests that were refused before and are placed ahead of requests that can still
 // meet their objective.
 TEST(WaitQueueTest, TriesCallerRetriesLastAndOthersInOrderOfArrival) {
