--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <utility>
 
+#include "libraries/core/identifiers.h"
 #include "libraries/core/milliseconds.h"
 #include "libraries/core/text_file.h"
 #include "services/pomelospar_edge/request_session.h"
@@ -195,7 +196,27 @@
                    {"peers", std::uint64_t{this->state.peers.size()}},
                    {"runners", std::uint64_t{this->state.runners.size()}},
                    {"share_level", this->state.share_level},
+                   {"share_capacity", this->state.share_capacity},
                    {"policy_age_ms", age}});
+  this->LogShares();
+}
+
+void Edge::LogShares() {
+  const auto now = this->state.clock.now();
+  for (const auto& [name, window] : this->state.workspaces) {
+    const double asked = window.asked.Sum(now);
+    if (asked <= 0.0) continue;
+    const auto others = this->state.peers.UsageOf(core::HashName(name));
+    this->log.Write(LogLevel::kInfo, "workspace_share",
+                    {{"workspace", name},
+                     {"asked", asked},
+                     {"served", window.served.Sum(now)},
+                     {"asked_elsewhere", others.asked},
+                     {"served_elsewhere", others.served},
+                     {"use", ShareUse(this->state, name, 0.0)},
+                     {"refused_first", window.refused_first},
+                     {"refused_returning", window.refused_returning}});
+  }
 }
 
 void Edge::ReloadSettings() {
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -41,6 +41,9 @@
   void Tick();
   void ScheduleTick();
   void LogLoad();
+  /// Logs what each workspace with requests at this router asked for and was served in the share
+  /// window, here and at the other routers.
+  void LogShares();
   void ReloadSettings();
   void ApplyCallerLimits();
   bool IsReady() const;
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -317,7 +317,9 @@
 
 asio::awaitable<void> RequestSession::Refuse(Refusal refusal) {
   if (!this->workspace.empty()) {
-    this->use.TakeBack(WindowOf(this->state, this->workspace).served, this->state.clock.now());
+    auto& window = WindowOf(this->state, this->workspace);
+    this->use.TakeBack(window.served, this->state.clock.now());
+    ++(this->admission_context.is_caller_retry ? window.refused_returning : window.refused_first);
   }
   http::HttpResponse response;
   response.status = refusal.status;
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -93,6 +93,7 @@
   // Engines do not read cached prompt parts again, so they may serve more tokens than the
   // operator's capacity.
   const double capacity = std::max(state.policy->tokens_per_second * seconds, served);
+  state.share_capacity = capacity;
   state.share_level = dispatch::MaxMinLevel(demands, capacity);
 }
 
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -69,6 +69,9 @@
   dispatch::SlidingSum asked;
   /// Tokens of its requests that were placed at an engine.
   dispatch::SlidingSum served;
+  /// Refused requests since the start, those of callers that came back after a refusal apart.
+  std::uint64_t refused_first = 0;
+  std::uint64_t refused_returning = 0;
 };
 
 /// State that the parts of the router share. It is read and written on the I/O thread only.
@@ -129,6 +132,8 @@
   /// Max-min fair share: tokens that each workspace may receive in the share window. Infinite while
   /// all demand can be met; 0 if the configuration names no capacity.
   double share_level = 0.0;
+  /// Tokens that the engines are assumed to serve in the share window.
+  double share_capacity = 0.0;
   /// Limits of the retries, by upstream name.
   std::unordered_map<std::string, dispatch::RetryAllowance> retries;
   /// Prefill work of the recent prompts of this router's callers, by upstream name.
