Edge, Dispatch: Limit what a router sends for a workspace to its part of the share

Cause: the share only shortened the queue limit and ordered the requests that wait at one router. An engine that is idle at that moment admits any request, and the first router that sees it sends to it; a flood waits at all routers.

Change: each router may send its part of 1.5 times the level, by its part of the workspace's demand, from a balance that it knows without delay. A request that cannot be within that in time is refused at once, with a Retry-After that follows from it. A surge competes with its forecast instead of the sum of a window that is not full of it yet.

--- a/libraries/dispatch/admission.cc
+++ b/libraries/dispatch/admission.cc
@@ -78,7 +78,7 @@
                           double draw) {
   const double excess = 1.0 - 1.0 / std::max(context.share_use, 1.0);
   const auto until_within_share = std::chrono::duration_cast<core::Duration>(share_window * excess);
-  const auto forecast = std::max(objective, until_within_share);
+  const auto forecast = std::max({objective, until_within_share, context.until_within_share});
   const auto accepted =
       std::chrono::duration_cast<core::Duration>(time_left * kMaxRetryAfterFraction);
   return std::chrono::duration_cast<core::Duration>(std::min(forecast, accepted) *
--- a/libraries/dispatch/admission.h
+++ b/libraries/dispatch/admission.h
@@ -12,6 +12,8 @@
   /// Tokens that the request's workspace was served in the current window, with those of this
   /// request, divided by its max-min fair share.
   double share_use = 0.0;
+  /// Time until the router may send a request of the workspace to an engine; see `ShareAllowance`.
+  core::Duration until_within_share{};
   /// The caller sends the request again after a refusal, so its latency objective is already
   /// missed.
   bool is_caller_retry = false;
@@ -48,7 +50,8 @@
 
 /// Returns the delay after which a refused caller should retry: at most one objective, because the
 /// queue limits keep the prefill work that refuses it now below that, or the time in which enough
-/// of the use of a workspace beyond its share leaves the share window, whichever is longer. Callers
+/// of the use of a workspace beyond its share leaves the share window, or in which the router's
+/// allowance admits the next request, whichever is longest. Callers
 /// accept a part of their remaining time only, which limits the delay. `draw` is a uniform random
 /// number in [0, 1); it spreads the retries, so that the callers of one burst do not return as the
 /// next burst.
--- a/libraries/dispatch/peer_view.cc
+++ b/libraries/dispatch/peer_view.cc
@@ -10,6 +10,7 @@
   for (const auto& [workspace, usage] : report.workspaces) {
     auto& sum = this->usage_sum[workspace];
     sum.asked += usage.asked;
+    sum.forecast += usage.forecast;
     sum.served += usage.served;
   }
 }
@@ -19,6 +20,7 @@
   for (const auto& [workspace, usage] : report.workspaces) {
     auto& sum = this->usage_sum[workspace];
     sum.asked = std::max(sum.asked - usage.asked, 0.0);
+    sum.forecast = std::max(sum.forecast - usage.forecast, 0.0);
     sum.served = std::max(sum.served - usage.served, 0.0);
   }
 }
--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -22,6 +22,8 @@
 struct WorkspaceUsage {
   /// Tokens of all its requests.
   double asked = 0.0;
+  /// What `asked` will be if the demand goes on as in the latest part of the window.
+  double forecast = 0.0;
   /// Tokens of its requests that were placed at an engine.
   double served = 0.0;
 };
--- a/libraries/dispatch/share_window.cc
+++ b/libraries/dispatch/share_window.cc
@@ -21,8 +21,8 @@
   bucket.sum += amount;
 }
 
-double SlidingSum::Sum(core::TimePoint now) const {
-  const auto oldest = this->BucketNumber(now) - static_cast<std::int64_t>(kBuckets) + 1;
+double SlidingSum::SumOfLatest(core::TimePoint now, std::size_t count) const {
+  const auto oldest = this->BucketNumber(now) - static_cast<std::int64_t>(count) + 1;
   double sum = 0.0;
   for (const auto& bucket : this->buckets) {
     if (bucket.number >= oldest) sum += bucket.sum;
@@ -30,6 +30,15 @@
   return sum;
 }
 
+double SlidingSum::Sum(core::TimePoint now) const { return this->SumOfLatest(now, kBuckets); }
+
+double SlidingSum::Forecast(core::TimePoint now) const {
+  // The latest bucket is incomplete, so one more is added to a quarter of them.
+  constexpr std::size_t kRecent = kBuckets / 4 + 1;
+  const double scale = static_cast<double>(kBuckets) / static_cast<double>(kRecent);
+  return scale * this->SumOfLatest(now, kRecent);
+}
+
 void RequestUse::Count(SlidingSum& served, core::TimePoint now) {
   if (std::exchange(this->is_counted, true)) return;
   served.Add(now, this->tokens);
@@ -40,6 +49,37 @@
   served.Add(now, -this->tokens);
 }
 
+void ShareAllowance::Refill(core::TimePoint now, double new_rate, double burst) {
+  if (this->refilled_at) {
+    const double seconds = std::chrono::duration<double>(now - *this->refilled_at).count();
+    this->balance = std::min(this->balance + new_rate * seconds, burst);
+  } else {
+    this->balance = burst;
+  }
+  this->refilled_at = now;
+  this->rate = new_rate;
+}
+
+core::Duration ShareAllowance::TimeUntilAllowed() const {
+  constexpr double kLongestSeconds = 60.0;
+  if (this->balance >= 0.0) return core::Duration::zero();
+  const double seconds =
+      this->rate > 0.0 ? std::min(-this->balance / this->rate, kLongestSeconds) : kLongestSeconds;
+  return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+}
+
+std::vector<double> CompetingDemands(std::span<const ShareDemand> demands, double capacity) {
+  const double equal_part =
+      capacity / static_cast<double>(std::max<std::size_t>(demands.size(), 1));
+  std::vector<double> tokens;
+  tokens.reserve(demands.size());
+  for (const auto& demand : demands) {
+    const bool is_large = demand.forecast > equal_part;
+    tokens.push_back(is_large ? std::max(demand.asked, demand.forecast) : demand.asked);
+  }
+  return tokens;
+}
+
 double MaxMinLevel(std::span<const double> demands, double capacity) {
   std::vector<double> sorted(demands.begin(), demands.end());
   std::sort(sorted.begin(), sorted.end());
--- a/libraries/dispatch/share_window.h
+++ b/libraries/dispatch/share_window.h
@@ -3,7 +3,9 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
+#include <vector>
 
 #include "libraries/core/clock.h"
 
@@ -16,6 +18,9 @@
 
   void Add(core::TimePoint now, double amount);
   double Sum(core::TimePoint now) const;
+  /// Returns the sum that the window will have if amounts go on as in its latest part. It shows a
+  /// load that has just begun before the window is full of it.
+  double Forecast(core::TimePoint now) const;
 
  private:
   static constexpr std::size_t kBuckets = 8;
@@ -24,6 +29,7 @@
     double sum = 0.0;
   };
   std::int64_t BucketNumber(core::TimePoint now) const;
+  double SumOfLatest(core::TimePoint now, std::size_t buckets) const;
 
   core::Duration bucket_length;
   std::array<Bucket, kBuckets> buckets{};
@@ -49,6 +55,39 @@
   bool is_counted = false;
 };
 
+/// Limits the tokens that one router sends to engines for one workspace to this router's part of
+/// the workspace's share. It answers a flood that enters by all routers: each of them knows what
+/// the others served only from their reports, so that a limit on the sum would be exceeded by all
+/// of them at the same time. The balance of one router is known without delay.
+class ShareAllowance {
+ public:
+  /// Adds the tokens of the time since the last call. `rate` is in tokens per second; the balance
+  /// does not exceed `burst` tokens, with which it starts.
+  void Refill(core::TimePoint now, double rate, double burst);
+  /// Returns the time until the next request may be sent; zero if one may be sent now. A request
+  /// may be sent while the balance is not negative, whatever its size.
+  core::Duration TimeUntilAllowed() const;
+  void Take(double tokens) { this->balance -= tokens; }
+  void GiveBack(double tokens) { this->balance += tokens; }
+
+ private:
+  std::optional<core::TimePoint> refilled_at;
+  double rate = 0.0;
+  double balance = 0.0;
+};
+
+/// Demand of one workspace over the fleet, in tokens in the share window.
+struct ShareDemand {
+  double asked = 0.0;
+  /// See `SlidingSum::Forecast`.
+  double forecast = 0.0;
+};
+
+/// Returns the tokens for which each workspace competes. A forecast counts only beyond an equal
+/// part of the capacity: below it a demand does not limit others, and the forecast of a few
+/// requests varies much.
+std::vector<double> CompetingDemands(std::span<const ShareDemand> demands, double capacity);
+
 /// Returns the max-min fair level: the largest amount that each demand may receive so that the sum
 /// of min(demand, level) does not exceed the capacity. Infinite if the capacity meets all demands.
 double MaxMinLevel(std::span<const double> demands, double capacity);
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -245,7 +245,7 @@
     if (runner->own.active > 0.0) report.runners.emplace(runner->key, runner->own);
   }
   for (const auto& [name, window] : this->state.workspaces) {
-    const dispatch::WorkspaceUsage usage = {window.asked.Sum(now), window.served.Sum(now)};
+    const dispatch::WorkspaceUsage usage = UsageAt(window, now);
     if (usage.asked > 0.0) report.workspaces.emplace(core::HashName(name), usage);
   }
   report.sent_prefixes = std::exchange(this->state.recent_prefixes, {});
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -146,6 +146,7 @@
   report.workspaces.reserve(static_cast<std::size_t>(message.workspaces_size()));
   for (const auto& usage : message.workspaces()) {
     report.workspaces[usage.workspace()] = {.asked = static_cast<double>(usage.asked()),
+                                            .forecast = static_cast<double>(usage.forecast()),
                                             .served = static_cast<double>(usage.served())};
   }
   for (const auto& prefix : message.reads()) report.sent_prefixes.push_back(Decode(prefix));
@@ -183,6 +184,7 @@
     auto* encoded = message.add_workspaces();
     encoded->set_workspace(workspace);
     encoded->set_asked(Whole(usage.asked));
+    encoded->set_forecast(Whole(usage.forecast));
     encoded->set_served(Whole(usage.served));
   }
   for (const auto& prefix : report.sent_prefixes) Encode(prefix, *message.add_reads());
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -111,11 +111,18 @@
               recent_work.TypicalPrefillMs(), this->admission_context)};
 }
 
+core::Duration RequestSession::TimeUntilWithinShare() {
+  const bool is_counted = this->use.uncounted_tokens() <= 0.0;
+  if (!this->upstream->engine || is_counted) return core::Duration::zero();
+  return TimeUntilAllowed(this->state, this->workspace);
+}
+
 bool RequestSession::PlaceEngine(const dispatch::EngineLimits& limits) {
   const auto candidates = this->Candidates();
   if (candidates.empty()) return false;
   this->admission_context.share_use =
       ShareUse(this->state, this->workspace, this->use.uncounted_tokens());
+  if (this->TimeUntilWithinShare() > core::Duration::zero()) return false;
   auto options = this->DescribeEngines(limits, candidates);
   this->PreferRendezvousEngine(candidates, options);
   const auto request = this->DescribeRequest(options);
@@ -177,7 +184,7 @@
     this->state.recent_prefixes.push_back({runner.key, {parts.begin(), parts.end() - 1}});
   }
   if (!this->workspace.empty()) {
-    this->use.Count(WindowOf(this->state, this->workspace).served, now);
+    CountServed(this->state, this->workspace, this->use);
   }
   this->state.unreported_tokens += this->proposal.prefill_tokens;
   if (this->state.on_unreported_tokens) this->state.on_unreported_tokens();
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -206,8 +206,11 @@
   const auto objective = this->tried.empty() ? this->route->objective : this->route->objective * 2;
   const auto until = this->state.clock.now() +
                      dispatch::HoldLimit(objective, this->TimeLeft(), this->admission_context);
+  this->admission_context.until_within_share = this->TimeUntilWithinShare();
+  const bool is_beyond_share =
+      this->admission_context.until_within_share > until - this->state.clock.now();
   bool is_confirmed = false;
-  while (!is_confirmed) {
+  while (!is_confirmed && !is_beyond_share) {
     if (!this->TryPlace() && this->state.clock.now() < until) {
       co_await this->WaitInQueue(until);
     }
@@ -235,8 +238,9 @@
   if (this->may_have_run || this->stream_started || this->error_response) {
     co_await this->EndUnserved(AttemptEnd::kNoResponse);
   } else {
-    this->engine_rejections = this->CountRejections();
-    const auto refusal = this->NoCapacityRefusal();
+    if (!is_beyond_share) this->engine_rejections = this->CountRejections();
+    auto refusal = this->NoCapacityRefusal();
+    if (is_beyond_share) refusal.reason = "the workspace is beyond its share";
     co_await this->Refuse(refusal);
   }
   co_return false;
@@ -317,8 +321,8 @@
 
 asio::awaitable<void> RequestSession::Refuse(Refusal refusal) {
   if (!this->workspace.empty()) {
+    TakeBackServed(this->state, this->workspace, this->use);
     auto& window = WindowOf(this->state, this->workspace);
-    this->use.TakeBack(window.served, this->state.clock.now());
     ++(this->admission_context.is_caller_retry ? window.refused_returning : window.refused_first);
   }
   http::HttpResponse response;
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -76,6 +76,8 @@
   boost::asio::awaitable<void> WaitInQueue(core::TimePoint until);
   /// Chooses a runner and sets `reservation`; returns false if no runner has room.
   bool TryPlace();
+  /// Returns the time until the workspace's share admits the request to an engine.
+  core::Duration TimeUntilWithinShare();
   bool PlaceEngine(const dispatch::EngineLimits& limits);
   /// Describes the prompt and its queue limit, and records its work at the first call.
   dispatch::EngineRequest DescribeRequest(std::span<const dispatch::EngineOption> options);
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -1,6 +1,7 @@
 #include "services/pomelospar_edge/router_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -49,6 +50,12 @@
 
 core::Duration ShareWindow(const RouterState& state) { return state.settings.share_window / 3; }
 
+dispatch::WorkspaceUsage UsageAt(const WorkspaceWindow& window, core::TimePoint now) {
+  return {.asked = window.asked.Sum(now),
+          .forecast = window.asked.Forecast(now),
+          .served = window.served.Sum(now)};
+}
+
 WorkspaceWindow& WindowOf(RouterState& state, const std::string& workspace) {
   return state.workspaces.try_emplace(workspace, ShareWindow(state)).first->second;
 }
@@ -61,6 +68,36 @@
   return (served + tokens) / state.share_level;
 }
 
+core::Duration TimeUntilAllowed(RouterState& state, const std::string& workspace) {
+  // Above 1, so that capacity which the other workspaces leave is used: what is served beyond the
+  // level raises it.
+  constexpr double kMaxUse = 1.5;
+  // Part of the share window whose tokens may be sent at once.
+  constexpr double kBurstPart = 0.25;
+  if (workspace.empty() || state.share_level <= 0.0 || std::isinf(state.share_level)) return {};
+  const auto now = state.clock.now();
+  auto& window = WindowOf(state, workspace);
+  const double own = window.asked.Sum(now);
+  const double all = own + state.peers.UsageOf(core::HashName(workspace)).asked;
+  const double part = all > 0.0 ? own / all : 1.0;
+  const double tokens_per_window = kMaxUse * state.share_level * part;
+  const double seconds = std::chrono::duration<double>(ShareWindow(state)).count();
+  window.allowance.Refill(now, tokens_per_window / seconds, tokens_per_window * kBurstPart);
+  return window.allowance.TimeUntilAllowed();
+}
+
+void CountServed(RouterState& state, const std::string& workspace, dispatch::RequestUse& use) {
+  auto& window = WindowOf(state, workspace);
+  window.allowance.Take(use.uncounted_tokens());
+  use.Count(window.served, state.clock.now());
+}
+
+void TakeBackServed(RouterState& state, const std::string& workspace, dispatch::RequestUse& use) {
+  auto& window = WindowOf(state, workspace);
+  window.allowance.GiveBack(use.all_tokens() - use.uncounted_tokens());
+  use.TakeBack(window.served, state.clock.now());
+}
+
 void RecordPrefix(Runner& runner, const dispatch::EngineLimits& limits,
                   const dispatch::EngineLoad& load, std::span<const dispatch::PromptPart> parts) {
   // Running requests take memory from the cache; at least this share of the memory is counted as
@@ -76,25 +113,27 @@
     return;
   }
   const auto now = state.clock.now();
-  std::unordered_map<std::uint64_t, double> demand;
+  std::unordered_map<std::uint64_t, dispatch::ShareDemand> demand_by_workspace;
   double served = 0.0;
-  for (const auto& [key, usage] : state.peers.usage()) {
-    demand[key] += usage.asked;
+  const auto add = [&](std::uint64_t workspace, const dispatch::WorkspaceUsage& usage) {
+    auto& demand = demand_by_workspace[workspace];
+    demand.asked += usage.asked;
+    demand.forecast += usage.forecast;
     served += usage.served;
-  }
-  for (const auto& [name, window] : state.workspaces) {
-    demand[core::HashName(name)] += window.asked.Sum(now);
-    served += window.served.Sum(now);
-  }
-  std::vector<double> demands;
-  demands.reserve(demand.size());
-  for (const auto& [key, tokens] : demand) demands.push_back(tokens);
+  };
+  for (const auto& [key, usage] : state.peers.usage()) add(key, usage);
+  for (const auto& [name, window] : state.workspaces)
+    add(core::HashName(name), UsageAt(window, now));
+  std::vector<dispatch::ShareDemand> demands;
+  demands.reserve(demand_by_workspace.size());
+  for (const auto& [key, demand] : demand_by_workspace) demands.push_back(demand);
   const double seconds = std::chrono::duration<double>(ShareWindow(state)).count();
   // Engines do not read cached prompt parts again, so they may serve more tokens than the
   // operator's capacity.
   const double capacity = std::max(state.policy->tokens_per_second * seconds, served);
   state.share_capacity = capacity;
-  state.share_level = dispatch::MaxMinLevel(demands, capacity);
+  state.share_level =
+      dispatch::MaxMinLevel(dispatch::CompetingDemands(demands, capacity), capacity);
 }
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -69,6 +69,8 @@
   dispatch::SlidingSum asked;
   /// Tokens of its requests that were placed at an engine.
   dispatch::SlidingSum served;
+  /// Limits what this router sends to engines while demand exceeds the capacity.
+  dispatch::ShareAllowance allowance;
   /// Refused requests since the start, those of callers that came back after a refusal apart.
   std::uint64_t refused_first = 0;
   std::uint64_t refused_returning = 0;
@@ -186,6 +188,9 @@
 /// the whole window when others begin to send.
 core::Duration ShareWindow(const RouterState& state);
 
+/// Returns what the window's workspace asked for and was served at this router.
+dispatch::WorkspaceUsage UsageAt(const WorkspaceWindow& window, core::TimePoint now);
+
 /// Returns the workspace's window and creates it on first use.
 WorkspaceWindow& WindowOf(RouterState& state, const std::string& workspace);
 
@@ -194,6 +199,17 @@
 /// capacity is known.
 double ShareUse(RouterState& state, const std::string& workspace, double tokens);
 
+/// Returns the time until this router may send a request of the workspace to an engine; zero if it
+/// may send one now. Each router may send the part of the workspace's share that corresponds to its
+/// part of the workspace's demand.
+core::Duration TimeUntilAllowed(RouterState& state, const std::string& workspace);
+
+/// Counts a placed request in what its workspace was served, once.
+void CountServed(RouterState& state, const std::string& workspace, dispatch::RequestUse& use);
+
+/// Takes a refused request back from what its workspace was served.
+void TakeBackServed(RouterState& state, const std::string& workspace, dispatch::RequestUse& use);
+
 /// Computes `share_level` from the demand of all workspaces at all routers.
 void UpdateShareLevel(RouterState& state);
 
--- a/tests/libraries/dispatch/state_test.cc
+++ b/tests/libraries/dispatch/state_test.cc
@@ -180,6 +180,47 @@
   EXPECT_DOUBLE_EQ(MaxMinLevel(demands, served.Sum(now)), 50'000.0);
 }
 
+// Guards against a large request that is refused for ever because it exceeds the balance, and
+// against a workspace that is paid back more than it was charged.
+TEST(ShareAllowanceTest, AdmitsAnySizeAndIsExactOverTime) {
+  ShareAllowance allowance;
+  core::TimePoint now{std::chrono::hours(1)};
+  allowance.Refill(now, 1'000.0, 250.0);
+  EXPECT_EQ(allowance.TimeUntilAllowed(), core::Duration::zero());
+  allowance.Take(2'250.0);
+  EXPECT_EQ(allowance.TimeUntilAllowed(), seconds(2));
+  double sent = 0.0;
+  for (int tick = 0; tick < 10'000; ++tick) {
+    now += milliseconds(1);
+    allowance.Refill(now, 1'000.0, 250.0);
+    if (allowance.TimeUntilAllowed() > core::Duration::zero()) continue;
+    allowance.Take(500.0);
+    sent += 500.0;
+  }
+  EXPECT_NEAR(sent, 8'000.0, 500.0);
+}
+
+// Guards against a share of nothing, with which a request would never be admitted again.
+TEST(ShareAllowanceTest, RecoversWhenTheRateReturns) {
+  ShareAllowance allowance;
+  core::TimePoint now{std::chrono::hours(1)};
+  allowance.Refill(now, 0.0, 0.0);
+  allowance.Take(100.0);
+  EXPECT_EQ(allowance.TimeUntilAllowed(), seconds(60));
+  now += seconds(1);
+  allowance.Refill(now, 100.0, 25.0);
+  EXPECT_EQ(allowance.TimeUntilAllowed(), core::Duration::zero());
+}
+
+// Guards against a surge that competes with what it asked for before, and against a share level
+// that a few requests of a small workspace move.
+TEST(CompetingDemandsTest, ForecastsCountForLargeDemandsOnly) {
+  const std::vector<ShareDemand> demands = {
+      {.asked = 100.0, .forecast = 900.0}, {.asked = 10.0, .forecast = 30.0}, {.asked = 500.0}};
+  EXPECT_THAT(CompetingDemands(demands, 600.0), testing::ElementsAre(900.0, 10.0, 500.0));
+  EXPECT_THAT(CompetingDemands({}, 600.0), testing::IsEmpty());
+}
+
 // The level must not grant more than the capacity, or leave capacity unused while demand is unmet.
 RC_GTEST_PROP(MaxMinLevelTest, UsesTheWholeCapacityAndNoMore, ()) {
   const auto numbers = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
--- a/tests/services/fleet_share/fleet_share_test.cc
+++ b/tests/services/fleet_share/fleet_share_test.cc
@@ -238,6 +238,7 @@
     constexpr int kMaxProposals = 6;
     auto& state = this->routers[index]->state;
     const auto& workspace = waiting.request.workspace;
+    if (TimeUntilAllowed(state, workspace) > core::Duration::zero()) return false;
     waiting.context.share_use = ShareUse(state, workspace, kPromptTokens);
     const double prefill_ms = dispatch::PrefillMs(
         state.engine_speed, waiting.request.uncached_tokens, kPromptTokens, 0.0);
@@ -285,7 +286,8 @@
     const auto begins_at = std::max(engine.busy_until, this->Now());
     engine.busy_until = begins_at + prefill;
     engine.unfinished.push_back({index, request.uncached_tokens, engine.busy_until + first_event});
-    WindowOf(state, workspace).served.Add(this->Now(), kPromptTokens);
+    dispatch::RequestUse use(kPromptTokens);
+    CountServed(state, workspace, use);
     const auto second = static_cast<std::size_t>(ToMilliseconds(begins_at - this->start) / 1000.0);
     if (second < kSeconds) this->records[workspace].got[second] += kPromptTokens;
   }
@@ -323,8 +325,7 @@
                                      .incarnation = router.state.incarnation,
                                      .sequence = ++router.reports};
       for (const auto& [name, window] : router.state.workspaces) {
-        report.workspaces[core::HashName(name)] = {window.asked.Sum(this->Now()),
-                                                   window.served.Sum(this->Now())};
+        report.workspaces[core::HashName(name)] = UsageAt(window, this->Now());
       }
       for (auto& other : this->routers) {
         if (other.get() != &router) other->state.peers.Apply(report, this->Now());
