Edge, Adapter: Survive odd entries of routers and runners; believe unnamed refusals on new connections only

An entry of a router in the fleet's table whose address is not a string ended the process that read it (an exception of the JSON library left the watch); such an entry is now left out. Deeply nested entries and ports out of range were refused before too; tests were added.

A refusal without the request's identifier was believed on a kept connection, so that an earlier one which a faulty runner repeats told the caller that its request had not run. It is now believed only on a connection that carried no request before; otherwise it is passed over like other late responses. ResponseMatchTest and RouterRowTest test the new functions; the behaviour before is read from the code.

A broken stream that the next runner answers with an error ends as broken (HandleResponse): read from the code, no fault found.

--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -150,6 +150,7 @@
   bool head_request = false;
   bool accept_close_delimited = false;
   bool any_byte_sent = false;
+  std::uint64_t requests = 0;
   bool response_read = true;
   bool failed = false;
 };
@@ -191,6 +192,7 @@
                     "asked for",
                     self.address)));
   }
+  ++self.requests;
   self.output.clear();
   BOOST_OUTCOME_CO_TRY(AppendRequest(request, self.address, self.output));
   self.head_request = request.method == "HEAD";
@@ -261,6 +263,8 @@
   this->state->ResetParser();
 }
 
+bool UpstreamConnection::is_reused() const { return this->state->requests > 1; }
+
 bool UpstreamConnection::reusable() const {
   const auto& self = *this->state;
   if (self.failed || !self.response_read || !self.input.empty()) return false;
--- a/libraries/http/upstream_connection.h
+++ b/libraries/http/upstream_connection.h
@@ -37,6 +37,8 @@
                                                   core::Duration timeout);
   /// True if any byte of the current request may have been sent. Also true while `Send` is writing.
   bool any_byte_sent() const;
+  /// True if an earlier request was sent on this connection.
+  bool is_reused() const;
   /// Reads the head of the response. Interim (1xx) responses are skipped. A response whose body is
   /// delimited by the close of the connection is `kMalformed` unless `AcceptCloseDelimited` was
   /// called.
--- /dev/null
+++ b/services/pomelospar_edge/response_match.cc
@@ -0,0 +1,11 @@
+#include "services/pomelospar_edge/response_match.h"
+
+namespace pomelospar::edge {
+
+bool MayAnswer(const adapter::ResponseFacts& facts, std::string_view attempt_id,
+               bool is_reused_connection) {
+  if (facts.attempt_id) return *facts.attempt_id == attempt_id;
+  return !facts.not_executed || !is_reused_connection;
+}
+
+}  // namespace pomelospar::edge
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -122,8 +122,9 @@
     served += usage.served;
   };
   for (const auto& [key, usage] : state.peers.usage()) add(key, usage);
-  for (const auto& [name, window] : state.workspaces)
+  for (const auto& [name, window] : state.workspaces) {
     add(core::HashName(name), UsageAt(window, now));
+  }
   std::vector<dispatch::ShareDemand> demands;
   demands.reserve(demand_by_workspace.size());
   for (const auto& [key, demand] : demand_by_workspace) demands.push_back(demand);
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -13,6 +13,7 @@
 
 #include "libraries/core/milliseconds.h"
 #include "services/pomelospar_edge/request_session.h"
+#include "services/pomelospar_edge/response_match.h"
 
 namespace pomelospar::edge {
 namespace {
@@ -186,11 +187,11 @@
   for (unsigned stray = 0; stray <= kMaxStrayResponses; ++stray) {
     BOOST_OUTCOME_CO_TRY(auto head, co_await connection.ReadHead(this->TimeLeft()));
     const auto facts = adapter::DecodeResponse(head);
-    if (!facts.attempt_id || *facts.attempt_id == this->facts.attempt_id) co_return head;
+    if (MayAnswer(facts, this->facts.attempt_id, connection.is_reused())) co_return head;
     this->state.log.Write(LogLevel::kWarning, "stray_response",
                           {{"request", this->facts.attempt_id},
                            {"runner", this->tried.back()},
-                           {"of", *facts.attempt_id}});
+                           {"of", facts.attempt_id.value_or("")}});
     const bool whole = co_await this->Discard(connection);
     if (!whole) break;
     connection.ExpectAnotherResponse();
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -14,6 +14,7 @@
 
 #include "libraries/core/identifiers.h"
 #include "platform/documents.h"
+#include "services/pomelospar_edge/router_row.h"
 
 namespace pomelospar::edge {
 namespace {
@@ -366,12 +367,12 @@
     if (!row.key.starts_with(kRouterRowPrefix)) continue;
     const auto name = row.key.substr(kRouterRowPrefix.size());
     if (name == this->router.settings.ip) continue;
-    const auto json = nlohmann::json::parse(row.value, nullptr, false);
-    if (row.removed || !json.is_object()) {
+    const auto entry = row.removed ? std::nullopt : DecodeRouterRow(row.value);
+    if (!entry) {
       this->peers.RemovePeer(name);
       continue;
     }
-    this->peers.SetPeer(name, json.value("address", ""), json.value("domain", ""));
+    this->peers.SetPeer(name, entry->address, entry->domain);
   }
   if (!this->peers.has_key()) {
     this->router_watch.pause = kRouterPauseWithoutKey;
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -95,11 +95,15 @@
       {R"("slots":128)", R"("slots":"128")"},
       {R"("slots":128)", R"("slots":0)"},
       {R"("slots":128)", R"("slots":-4)"},
+      {R"("slots":128)", R"("slots":4294967297)"},
+      {R"("slots":128)", R"("slots":1e999)"},
       {R"("address":"10.0.0.9:8080")", R"("address":"10.0.0.9")"},
       {R"("address":"10.0.0.9:8080")", R"("address":7)"},
+      {R"("address":"10.0.0.9:8080")", R"("address":"10.0.0.9:70000")"},
       {R"("zone":"z",)", ""},
       {R"("service":"s1")", R"("service":"")"},
-      {R"("born":1700000000000)", R"("born":1.5)"}};
+      {R"("born":1700000000000)", R"("born":1.5)"},
+      {R"("born":1700000000000)", R"("born":18446744073709551615)"}};
   for (const auto& [from, to] : changes) {
     std::string document(kRunner);
     document.replace(document.find(from), from.size(), to);
@@ -107,6 +111,23 @@
   }
 }
 
+// Guards against a stack overflow in a router that reads an entry of another writer.
+TEST(DecodeRunnerTest, SurvivesDeeplyNestedEntries) {
+  constexpr std::size_t kDepth = 1'000'000;
+  for (const auto* opening : {"[", "{\"a\":"}) {
+    std::string document;
+    for (std::size_t level = 0; level < kDepth; ++level) document += opening;
+    EXPECT_FALSE(DecodeRunner("i-1", document).has_value());
+    document += "1";
+    document.append(kDepth, *opening == '[' ? ']' : '}');
+    std::string entry(kRunner);
+    entry.insert(1, ",");
+    entry.insert(1, document);
+    entry.insert(1, "\"extra\":");
+    EXPECT_TRUE(DecodeRunner("i-1", entry).has_value());
+  }
+}
+
 RC_GTEST_PROP(DecodeRunnerTest, SurvivesAnyBytes, (const std::string& bytes)) {
   const auto runner = DecodeRunner("i-1", bytes);
   if (runner) RC_ASSERT(!runner.value().upstream.empty());
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "libraries/http/byte_stream.h"
 #include "libraries/wire/fleet_keys.h"
@@ -14,6 +15,8 @@
 #include "services/pomelospar_edge/held_bytes.h"
 #include "services/pomelospar_edge/peer_exchange.h"
 #include "services/pomelospar_edge/peer_message.h"
+#include "services/pomelospar_edge/response_match.h"
+#include "services/pomelospar_edge/router_row.h"
 #include "services/pomelospar_edge/router_state.h"
 #include "services/pomelospar_edge/wait_queue.h"
 
@@ -203,6 +206,35 @@
   RC_ASSERT(!verified.has_value());
 }
 
+// Guards against a router that ends because of one entry that another program wrote.
+TEST(RouterRowTest, RefusesEntriesThatNameNoRouter) {
+  EXPECT_TRUE(DecodeRouterRow(R"({"address":"10.0.0.1:7","domain":"a"})").has_value());
+  const std::vector<std::string> values = {R"({"address":7,"domain":"a"})",
+                                           R"({"address":"10.0.0.1:7","domain":{}})",
+                                           R"({"domain":"a"})",
+                                           R"([])",
+                                           R"({"address":1e999})",
+                                           "",
+                                           std::string(1'000'000, '[')};
+  for (const auto& value : values) {
+    EXPECT_FALSE(DecodeRouterRow(value).has_value()) << value.substr(0, 40);
+  }
+}
+
+// Guards against a refusal of an earlier request that a faulty runner repeats on a kept connection:
+// the caller would be told that its request did not run.
+TEST(ResponseMatchTest, BelievesRefusalsOfThisRequestOnly) {
+  const adapter::ResponseFacts own = {.attempt_id = "a", .not_executed = true};
+  const adapter::ResponseFacts other = {.attempt_id = "b", .not_executed = true};
+  const adapter::ResponseFacts unnamed = {.not_executed = true};
+  for (const bool is_reused : {false, true}) {
+    EXPECT_TRUE(MayAnswer(own, "a", is_reused));
+    EXPECT_FALSE(MayAnswer(other, "a", is_reused));
+  }
+  EXPECT_TRUE(MayAnswer(unnamed, "a", false));
+  EXPECT_FALSE(MayAnswer(unnamed, "a", true));
+}
+
 // Guards against a share level far below what the engines serve. They serve more than the
 // configured capacity when prompt parts are cached; all large workspaces would then count as far
 // beyond their share, without any difference between them.
