--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -187,7 +187,9 @@
   for (unsigned stray = 0; stray <= kMaxStrayResponses; ++stray) {
     BOOST_OUTCOME_CO_TRY(auto head, co_await connection.ReadHead(this->TimeLeft()));
     const auto facts = adapter::DecodeResponse(head);
-    if (MayAnswer(facts, this->facts.attempt_id, connection.is_reused())) co_return head;
+    if (MayAnswer(facts, head.status, this->facts.attempt_id, connection.is_reused())) {
+      co_return head;
+    }
     this->state.log.Write(LogLevel::kWarning, "stray_response",
                           {{"request", this->facts.attempt_id},
                            {"runner", this->tried.back()},
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -228,11 +228,12 @@
   const adapter::ResponseFacts other = {.attempt_id = "b", .not_executed = true};
   const adapter::ResponseFacts unnamed = {.not_executed = true};
   for (const bool is_reused : {false, true}) {
-    EXPECT_TRUE(MayAnswer(own, "a", is_reused));
-    EXPECT_FALSE(MayAnswer(other, "a", is_reused));
+    EXPECT_TRUE(MayAnswer(own, 503, "a", is_reused));
+    EXPECT_FALSE(MayAnswer(other, 503, "a", is_reused));
+    EXPECT_TRUE(MayAnswer(unnamed, 421, "a", is_reused));
   }
-  EXPECT_TRUE(MayAnswer(unnamed, "a", false));
-  EXPECT_FALSE(MayAnswer(unnamed, "a", true));
+  EXPECT_TRUE(MayAnswer(unnamed, 503, "a", false));
+  EXPECT_FALSE(MayAnswer(unnamed, 503, "a", true));
 }
 
 // Guards against a share level far below what the engines serve. They serve more than the
