Edge tests: Remove an unread member of the flood replay and name its workspaces rightly

Request::received was written and never read; the comment spoke of one workspace at two routers, the test has three.

--- a/tests/services/fleet_share/fleet_share_test.cc
+++ b/tests/services/fleet_share/fleet_share_test.cc
@@ -89,7 +89,6 @@
 struct Request {
   std::string workspace;
   double uncached_tokens = 0.0;
-  core::TimePoint received;
   bool is_caller_retry = false;
 };
 
@@ -202,8 +201,7 @@
     for (int left = arrivals(this->random); left > 0; --left) {
       const auto entry = this->random() % demand.entries.size();
       this->records[demand.workspace].asked[this->Second()] += kPromptTokens;
-      this->Admit(demand.entries[entry],
-                  {demand.workspace, demand.uncached_tokens, this->Now(), false});
+      this->Admit(demand.entries[entry], {demand.workspace, demand.uncached_tokens, false});
     }
   }
 
@@ -215,7 +213,6 @@
     std::vector<Return> arriving(due, this->returns.end());
     this->returns.erase(due, this->returns.end());
     for (auto& entry : arriving) {
-      entry.request.received = now;
       entry.request.is_caller_retry = true;
       this->Admit(entry.router, std::move(entry.request));
     }
@@ -423,9 +420,9 @@
   return entries;
 }
 
-// One workspace floods all routers while another one, whose callers connect to two routers, asks
-// for more than its share. Engines are lost and routers restart meanwhile. Guards against engines
-// that go to the workspace that waits at most routers, however far it is beyond its share.
+// One workspace floods all routers while three others, whose callers connect to two routers each,
+// ask for more than their share. Engines are lost and routers restart meanwhile. Guards against
+// engines that go to the workspace that waits at most routers, however far it is beyond its share.
 class FleetShareTest : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(FleetShareTest, AFloodAtAllRoutersLeavesAWorkspaceAtTwoRoutersItsShare) {
