--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -63,18 +63,35 @@
   return number;
 }
 
+// The identifiers of the parts that a prompt may share with others, for the log.
+std::string SharedParts(const dispatch::Prompt& prompt) {
+  std::string text;
+  for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
+    text += fmt::format("{}{:x}", index == 0 ? "" : ",", prompt.parts[index].id);
+  }
+  return text;
+}
+
 // After a lost connection, records a crash if the runner accepts no new connection. A faulty runner
 // that only broke off its response still listens.
-asio::awaitable<void> ConfirmCrash(RouterState& state, std::string address,
-                                   dispatch::Suspicion suspicion, std::string request) {
+asio::awaitable<void> ConfirmCrash(RouterState& state, dispatch::RunnerRecord runner,
+                                   dispatch::Suspicion suspicion, std::string request,
+                                   std::string parts) {
   asio::steady_timer timer(state.io, kCrashProbeDelay);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  const auto opened =
-      co_await http::UpstreamConnection::Open(std::move(address), kCrashProbeTimeout);
-  if (opened) co_return;
+  const auto opened = co_await http::UpstreamConnection::Open(runner.address, kCrashProbeTimeout);
+  if (opened) {
+    state.log.Write(LogLevel::kInfo, "runner_still_listens",
+                    {{"request", request}, {"runner", runner.id}});
+    co_return;
+  }
   state.suspects.RecordLocalCrash(state.clock.now(), suspicion);
   state.log.Write(LogLevel::kWarning, "crash_suspect",
-                  {{"request", request}, {"fingerprint", suspicion.request}});
+                  {{"request", request},
+                   {"runner", runner.id},
+                   {"crash", suspicion.crash},
+                   {"fingerprint", suspicion.request},
+                   {"parts", parts}});
 }
 
 }  // namespace
@@ -98,10 +115,10 @@
   const dispatch::Suspicion suspicion = {
       this->Fingerprint(),
       core::CombineHashes(runner.key, static_cast<std::uint64_t>(runner.record.started_unix_ms))};
-  asio::co_spawn(
-      this->state.io,
-      ConfirmCrash(this->state, runner.record.address, suspicion, this->facts.attempt_id),
-      asio::detached);
+  asio::co_spawn(this->state.io,
+                 ConfirmCrash(this->state, runner.record, suspicion, this->facts.attempt_id,
+                              SharedParts(this->facts.prompt)),
+                 asio::detached);
 }
 
 asio::awaitable<AttemptEnd> RequestSession::Attempt() {
