System tests: Parts of prompts that crash runners, and likeness taken for guilt, known red

Three routers and runners that crash and start again. The stand-in's runners can crash under a part, in the head of a response, and start again.

--- a/tests/system/platform_router.py
+++ b/tests/system/platform_router.py
@@ -99,11 +99,11 @@
         except OSError:
             return False
 
-    def send(self, attempt, path, method="POST", key=KEY, headers=(), timeout=8):
+    def send(self, attempt, path, method="POST", key=KEY, headers=(), timeout=8, body=b"asked"):
         """Returns status, headers and body; the body is None if the response was incomplete."""
         sent = caller_headers(attempt, key) | dict(headers)
         connection = http.client.HTTPConnection(self.ip, self.caller_port, timeout=timeout)
-        connection.request(method, path, body=b"asked" if method == "POST" else None, headers=sent)
+        connection.request(method, path, body=body if method == "POST" else None, headers=sent)
         answer = connection.getresponse()
         try:
             return answer.status, answer.headers, answer.read()
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -34,6 +34,11 @@
     return head.encode() + b"\r\n" + body
 
 
+def part_identifiers(headers):
+    """Returns the identifiers of the parts of the request's prompt."""
+    return [part.split(":")[0] for part in headers.get("x-prompt-prefix", "").split(",")]
+
+
 class Store:
     """Versioned rows by table and key.
 
@@ -164,13 +169,16 @@
     `fault` is None or one of "break" (resets after `break_after` events), "full", "other_instance",
     "error", "no_receipt", "unframed", "extra" (a second response after each), "refuse_silently" (a 503
     that does not say that nothing ran), "crash", "hang", and the keys of `ENDLESS_RESPONSES` and
-    `SLOW_RESPONSES`, which send bytes until the connection is closed.
+    `SLOW_RESPONSES`, which send bytes until the connection is closed. With `crashing_part`, a request
+    whose prompt has this part ends the runner as soon as it is executed.
     """
 
     def __init__(self, identifier, service):
         self.identifier = identifier
         self.service = service
         self.fault = None
+        self.crashing_part = None
+        self.execution_seconds = 0.0
         self.break_after = 3
         self.events = 8
         self.event_interval = 0.005
@@ -181,12 +189,22 @@
         self.endless_bytes_sent = 0
         self.port = 0
         self.server = None
+        self.writers = set()
+        # Time at which the runner crashed, or None while it serves.
+        self.crashed_at = None
 
     def crash(self, writer):
         """Closes the listener and resets the connection, like a process that crashes."""
         self.server.close()
         writer.transport.abort()
 
+    def end(self):
+        """Closes the listener and resets all connections, like a process that crashes."""
+        self.crashed_at = time.monotonic()
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     def entry(self, state="ready"):
         return json.dumps(
             {
@@ -203,6 +221,13 @@
         ).encode()
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve_requests(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def serve_requests(self, reader, writer):
         while message := await read_message(reader):
             line, headers, body = message
             self.requests.append({"line": line, "headers": headers, "body": body, "at": time.monotonic()})
@@ -229,6 +254,13 @@
         if self.fault in ENDLESS_RESPONSES:
             return await self.send_endless_response(known, writer)
         self.executed.append({"headers": headers, "at": time.monotonic()})
+        await asyncio.sleep(self.execution_seconds)
+        if self.crashing_part and self.crashing_part in part_identifiers(headers):
+            if len(self.requests) % 2:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+                await writer.drain()
+            self.end()
+            return False
         if self.fault == "error":
             writer.write(response(500, b"broken", known))
             return True
@@ -336,6 +368,28 @@
         self.put("servers", identifier, runner.entry())
         return runner
 
+    def end_runner(self, runner):
+        async def end():
+            runner.end()
+
+        self.call(end())
+
+    def restart_runner(self, runner, identifier):
+        """Starts a new run of a crashed runner at its address, with a new identifier."""
+        successor = Runner(identifier, runner.service)
+        successor.crashing_part = runner.crashing_part
+        successor.execution_seconds = runner.execution_seconds
+        successor.event_interval = runner.event_interval
+        successor.port = runner.port
+
+        async def start():
+            successor.server = await asyncio.start_server(successor.serve, "127.0.0.1", runner.port)
+
+        self.call(start())
+        self.remove("servers", runner.identifier)
+        self.put("servers", identifier, successor.entry())
+        return successor
+
     def configure(self, version, keys, extra_routes=()):
         engine = {"slots": 8, "kv-capacity": 100000, "stride": 5}
         common = {"host": "a.example", "goal-ms": 600, "priority": 1, "public": False}
--- /dev/null
+++ b/tests/system/test_crashing_parts.py
@@ -0,0 +1,183 @@
+"""Several routers while runners crash: under one part of prompts, and for reasons of their own."""
+
+import itertools
+import os
+import random
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from platform_router import KEY, Router, until  # noqa: E402
+from table_platform import Platform, part_identifiers  # noqa: E402
+
+SEED = 1
+CRASHING_PART = "bad1"
+# Time in seconds in which a router discovers the others.
+DISCOVERY_SECONDS = 2.0
+# The users' limits: at most this many requests with the part may reach runners later than
+# CONTAINMENT_SECONDS after the fifth crash; sound requests are served again at twice that time.
+CRASHES = 5
+CONTAINMENT_SECONDS = 3.0
+REQUESTS_AFTER_CONTAINMENT = 3
+SERVED_SHARE = 0.5
+# Times in seconds without a crash, and with requests that crash runners.
+CALM_SECONDS = 2.0
+TROUBLE_SECONDS = 16.0
+# Time in seconds after which crashed runners serve again.
+CRASH_RECOVERY_SECONDS = 3.0
+
+
+class CrashingPartsTest(unittest.TestCase):
+    def setUp(self):
+        self.random = random.Random(SEED)
+        self.numbers = itertools.count(1)
+        self.platform = Platform()
+        self.platform.configure(3, [KEY])
+        self.runners = []
+        self.past_runners = []
+        self.results = []
+        self.stopping = threading.Event()
+        self.threads = []
+
+    def start_fleet(self, service, count, **attributes):
+        for _ in range(count):
+            runner = self.platform.add_runner(f"i-{next(self.numbers)}", service)
+            for name, value in attributes.items():
+                setattr(runner, name, value)
+            self.runners.append(runner)
+        self.routers = [
+            Router(self.platform.store_port, f"127.0.0.{n}", domain) for n, domain in ((1, "a"), (2, "b"), (3, "c"))
+        ]
+        for router in self.routers:
+            self.addCleanup(router.end)
+        self.addCleanup(self.stop)
+        for router in self.routers:
+            self.assertTrue(until(router.is_ready, 5))
+        time.sleep(DISCOVERY_SECONDS)
+        self.run_in_background(self.restart_crashed_runners)
+
+    def run_in_background(self, function, *arguments):
+        self.threads.append(threading.Thread(target=function, args=arguments, daemon=True))
+        self.threads[-1].start()
+
+    def stop(self):
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join(10)
+        self.threads.clear()
+
+    def restart_crashed_runners(self):
+        delays = random.Random(SEED)
+        due = {}
+        while not self.stopping.is_set():
+            for index, runner in enumerate(self.runners):
+                if runner.crashed_at is None:
+                    continue
+                due.setdefault(runner, runner.crashed_at + delays.uniform(1.0, 2.5))
+                if time.monotonic() >= due[runner]:
+                    self.past_runners.append(runner)
+                    self.runners[index] = self.platform.restart_runner(runner, f"i-{next(self.numbers)}")
+            time.sleep(0.02)
+
+    def call_repeatedly(self, prompt, pause, seed, path="/s/1", method="POST", equal_bodies=False):
+        """Sends requests, each with a prompt of its own, to routers drawn at random."""
+        draws = random.Random(seed)
+        while not self.stopping.is_set():
+            attempt = f"attempt-{next(self.numbers)}"
+            headers = {"X-Prompt-Prefix": prompt(draws), "X-Deadline-Ms": "2000"}
+            sent = b"equal" if equal_bodies else attempt.encode()
+            at = time.monotonic()
+            try:
+                status, _, body = draws.choice(self.routers).send(
+                    attempt, path, method, headers=headers, timeout=4, body=sent
+                )
+            except OSError:
+                status, body = 0, None
+            served = status == 200 and body is not None
+            is_sound = CRASHING_PART not in headers["X-Prompt-Prefix"]
+            self.results.append((at, is_sound, served))
+            time.sleep(draws.uniform(0.5, 1.5) * pause)
+
+    def served_share(self, start, end):
+        sent = [served for at, is_sound, served in self.results if is_sound and start <= at < end]
+        self.assertGreaterEqual(len(sent), 20)
+        return sum(sent) / len(sent)
+
+    def all_runners(self):
+        return self.past_runners + self.runners
+
+    def check_containment(self, equal_bodies):
+        self.start_fleet("engines", 8, crashing_part=CRASHING_PART, execution_seconds=0.05)
+
+        def start_callers(count, pause, seed, shared_part):
+            for index in range(count):
+                prompt = lambda draws: f"a1:500,{shared_part(draws)},{draws.getrandbits(48):x}:300"  # noqa: E731
+                self.run_in_background(
+                    self.call_repeatedly, prompt, pause, seed + index, "/s/1", "POST", equal_bodies
+                )
+
+        start = time.monotonic()
+        start_callers(10, 0.1, 0, lambda draws: f"{256 + draws.randrange(40):x}:200")
+        time.sleep(CALM_SECONDS)
+        calm = time.monotonic()
+        start_callers(5, 0.2, 100, lambda draws: f"{CRASHING_PART}:40")
+        time.sleep(TROUBLE_SECONDS)
+        end = time.monotonic()
+        self.stop()
+        crashes = sorted(r.crashed_at for r in self.all_runners() if r.crashed_at is not None)
+        self.assertGreaterEqual(len(crashes), 3)
+        fifth = crashes[min(CRASHES, len(crashes)) - 1]
+        late = [
+            request
+            for runner in self.all_runners()
+            for request in runner.requests
+            if CRASHING_PART in part_identifiers(request["headers"])
+            and request["at"] > fifth + CONTAINMENT_SECONDS
+        ]
+        print(f"{len(crashes)} runners ended; {len(late)} requests with the part reached runners late")
+        calm_share = self.served_share(start, calm)
+        share = self.served_share(fifth + 2 * CONTAINMENT_SECONDS, end)
+        print(f"served: {calm_share:.3f} without crashes, {share:.3f} after the part was contained")
+        self.assertLessEqual(len(late), REQUESTS_AFTER_CONTAINMENT)
+        self.assertGreaterEqual(share, SERVED_SHARE * calm_share)
+
+    # Guards against requests that share only one part of their prompts and crash one runner after the
+    # other, whichever router they enter by.
+    def test_contains_a_part_that_crashes_runners(self):
+        self.check_containment(equal_bodies=False)
+
+    # Guards against refusing sound requests that differ from crashing ones in their prompts only.
+    def test_serves_requests_whose_path_and_body_equal_those_of_crashing_ones(self):
+        self.check_containment(equal_bodies=True)
+
+    # Guards against refusing equal requests because they were in progress on runners that crashed for
+    # reasons of their own.
+    def test_serves_equal_requests_beside_ordinary_crashes(self):
+        self.start_fleet("desk", 6, execution_seconds=0.1)
+        start = time.monotonic()
+        for seed in range(12):
+            self.run_in_background(
+                self.call_repeatedly, lambda draws: f"{draws.getrandbits(48):x}:300", 0.01, seed, "/l/1", "GET"
+            )
+        time.sleep(CALM_SECONDS)
+        calm = time.monotonic()
+        draws = random.Random(SEED)
+        for _ in range(6):
+            running = [runner for runner in self.runners if runner.crashed_at is None]
+            self.platform.end_runner(draws.choice(running))
+            time.sleep(0.2)
+        time.sleep(CRASH_RECOVERY_SECONDS)
+        recovered = time.monotonic()
+        time.sleep(4)
+        end = time.monotonic()
+        self.stop()
+        calm_share = self.served_share(start, calm)
+        share = self.served_share(recovered, end)
+        print(f"served: {calm_share:.3f} before six crashes, {share:.3f} after them")
+        self.assertGreaterEqual(share, calm_share - 0.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
