--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -1,56 +1,323 @@
 #include "libraries/dispatch/crash_suspects.h"
 
+#include <algorithm>
+#include <array>
+#include <optional>
+
 #include "libraries/core/identifiers.h"
 
 namespace pomelospar::dispatch {
 namespace {
 
-// Number of reports that include a suspicion. In a large fleet only every fourth report goes to
-// other failure domains, and some datagrams are lost.
-constexpr unsigned kReportsPerSuspicion = 12;
-// One crash makes every request of this router on that runner a suspect.
-constexpr std::size_t kMaxSuspects = 4096;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+// Number of reports that include a suspicion or an acquittal. In a large fleet only every fourth
+// report goes to other failure domains, and some datagrams are lost.
+constexpr unsigned kReportsPerNews = 12;
+// Limits of one report: with all three, it stays far below the size of a datagram.
+constexpr std::size_t kMaxSuspicionsPerReport = 256;
+constexpr std::size_t kMaxAcquittalsPerReport = 64;
+constexpr std::size_t kMaxQuarantinesPerReport = 32;
+// One crash makes every request of this router on that runner a suspect, and every part of it.
+constexpr std::size_t kMaxSuspects = 8192;
+// If there is no room, suspects of one crash are dropped after this time. To look for them costs a
+// pass over all suspects, so that it is not done for each suspicion.
+constexpr core::Duration kCrowdedRetention = seconds(10);
+constexpr core::Duration kCleanupPeriod = seconds(1);
+constexpr std::size_t kMaxPendingSuspicions = 8192;
+// More crashes of one subject prove nothing more.
+constexpr std::size_t kMaxCrashesPerSuspect = 16;
+// A subject that was answered at this router so recently is not reported to the others.
+constexpr core::Duration kAnsweredJustNow = seconds(2);
+constexpr core::Duration kAcquittalPeriod = milliseconds(300);
+// A quarantine told by another router holds for this long after it was last told.
+constexpr core::Duration kToldRetention = seconds(10);
+// A router that only knows a quarantine from others passes it on if it has itself refused a request
+// within this time; otherwise the routers would tell it each other without end.
+constexpr core::Duration kTellAfterRefusal = seconds(30);
+// Time without a crash after which one request with the subject is sent as a trial, by the number
+// of trials that failed. The users bear three requests with a part that is known to crash runners.
+constexpr std::array<core::Duration, 3> kTrialDelays = {seconds(5), minutes(1), minutes(10)};
+// Longer than a report takes to reach the other routers.
+constexpr core::Duration kTrialStep = milliseconds(500);
+// Requests that were sent before the quarantine crash their runners within this time; a later crash
+// is that of a trial.
+constexpr core::Duration kCrashesInFlight = seconds(2);
+
+core::Duration TrialDelay(std::uint64_t failed_trials) {
+  return kTrialDelays[std::min<std::uint64_t>(failed_trials, kTrialDelays.size() - 1)];
+}
 
 }  // namespace
 
-std::uint64_t RequestFingerprint(std::string_view workspace, std::string_view target,
-                                 std::string_view body) {
-  return core::CombineHashes(core::HashName(workspace),
-                             core::CombineHashes(core::HashName(target), core::HashName(body)));
+std::vector<std::uint64_t> SubjectsOf(std::string_view workspace, std::string_view method,
+                                      std::string_view target, std::string_view body,
+                                      std::span<const PromptPart> parts) {
+  std::uint64_t request = core::HashName(workspace);
+  for (const auto text : {method, target, body}) {
+    request = core::CombineHashes(request, core::HashName(text));
+  }
+  std::vector<std::uint64_t> subjects = {request};
+  const auto part_kind = core::HashName("prompt part");
+  for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
+    subjects.push_back(core::CombineHashes(part_kind, parts[index].id));
+  }
+  return subjects;
 }
 
-void CrashSuspects::RecordLocalCrash(core::TimePoint now, const Suspicion& suspicion) {
-  this->RecordCrash(now, suspicion);
-  this->pending_suspicions.push_back({suspicion, kReportsPerSuspicion});
+void CrashSuspects::RecordLocalCrash(core::TimePoint now, std::uint64_t crash,
+                                     std::span<const std::uint64_t> subjects) {
+  for (const auto subject : subjects) {
+    this->RecordCrash(now, {.subject = subject, .crash = crash});
+    const auto answered = this->answers.Find(subject);
+    if (answered && now - *answered < kAnsweredJustNow) continue;
+    if (this->pending_suspicions.size() >= kMaxPendingSuspicions) {
+      ++this->dropped_suspicions;
+      continue;
+    }
+    this->pending_suspicions.push_back({subject, crash, now, kReportsPerNews});
+  }
+  this->FindWorst();
 }
 
 void CrashSuspects::RecordCrash(core::TimePoint now, const Suspicion& suspicion) {
-  if (this->suspects.size() >= kMaxSuspects) {
-    std::erase_if(this->suspects,
-                  [&](const auto& entry) { return now - entry.second.last > kRetention; });
+  auto at = this->crash_times.Find(suspicion.crash);
+  if (!at) {
+    at = now - suspicion.age;
+    this->crash_times.Record(suspicion.crash, *at);
+  }
+  const auto answered = this->answers.Find(suspicion.subject);
+  if (answered && *answered >= *at) return;
+  if (!this->suspects.contains(suspicion.subject) && !this->MakeRoom(now)) {
+    ++this->dropped_suspicions;
+    return;
+  }
+  auto& suspect = this->suspects[suspicion.subject];
+  const bool known =
+      std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                  [&](const Crash& crash) { return crash.identifier == suspicion.crash; });
+  if (known || suspect.crashes.size() >= kMaxCrashesPerSuspect) return;
+  const auto position = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
+                                     [&](const Crash& crash) { return crash.at > *at; });
+  suspect.crashes.insert(position, {suspicion.crash, *at});
+  suspect.last = std::max(suspect.last, *at);
+}
+
+bool CrashSuspects::MakeRoom(core::TimePoint now) {
+  if (this->suspects.size() < kMaxSuspects) return true;
+  if (now - this->last_cleanup < kCleanupPeriod) return false;
+  this->last_cleanup = now;
+  std::erase_if(this->suspects, [&](const auto& entry) {
+    const auto& suspect = entry.second;
+    return suspect.crashes.size() <= 1 && !suspect.in_quarantine &&
+           now - suspect.last > kCrowdedRetention;
+  });
+  return this->suspects.size() < kMaxSuspects;
+}
+
+void CrashSuspects::OnAnswer(core::TimePoint now, std::span<const std::uint64_t> subjects) {
+  for (const auto subject : subjects) {
+    const bool suspected = this->suspects.contains(subject);
+    this->RecordAnswer(subject, now);
+    if (suspected) this->QueueAcquittal(now, subject);
+    if (suspected) this->FindWorst();
+  }
+}
+
+void CrashSuspects::RecordAnswer(std::uint64_t subject, core::TimePoint at) {
+  this->answers.Record(subject, at);
+  const auto found = this->suspects.find(subject);
+  if (found == this->suspects.end()) return;
+  auto& suspect = found->second;
+  std::erase_if(suspect.crashes, [&](const Crash& crash) { return crash.at <= at; });
+  if (suspect.last <= at) suspect.told_at.reset();
+  // An empty suspect stays until `Update`, which tells that its quarantine has ended.
+}
+
+void CrashSuspects::QueueAcquittal(core::TimePoint now, std::uint64_t subject) {
+  const auto sent = this->sent_acquittals.Find(subject);
+  if (sent && now - *sent < kAcquittalPeriod) return;
+  this->sent_acquittals.Record(subject, now);
+  const auto answered_at = this->answers.Find(subject).value_or(now);
+  std::erase_if(this->pending_acquittals,
+                [&](const PendingAcquittal& pending) { return pending.subject == subject; });
+  this->pending_acquittals.push_back({subject, answered_at, kReportsPerNews});
+}
+
+void CrashSuspects::Apply(core::TimePoint now, const SuspectNews& news) {
+  for (const auto& acquittal : news.acquittals) {
+    this->RecordAnswer(acquittal.subject, now - acquittal.age);
+  }
+  for (const auto& suspicion : news.suspicions) {
+    this->RecordCrash(now, suspicion);
+    // Another router suspects what this one has seen answered.
+    if (this->answers.Find(suspicion.subject)) this->QueueAcquittal(now, suspicion.subject);
+  }
+  for (const auto& told : news.quarantines) this->ApplyQuarantine(now, told);
+  if (!news.suspicions.empty() || !news.acquittals.empty()) this->FindWorst();
+}
+
+void CrashSuspects::ApplyQuarantine(core::TimePoint now, const Quarantine& told) {
+  const auto last = now - told.age;
+  const auto answered = this->answers.Find(told.subject);
+  if (answered && *answered >= last) {
+    this->QueueAcquittal(now, told.subject);
+    return;
+  }
+  if (!this->suspects.contains(told.subject) && !this->MakeRoom(now)) {
+    ++this->dropped_suspicions;
+    return;
+  }
+  auto& suspect = this->suspects[told.subject];
+  suspect.told_at = now;
+  suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
+  suspect.last = std::max(suspect.last, last);
+}
+
+unsigned CrashSuspects::MomentsNeeded(std::uint64_t subject) const {
+  return this->answers.Find(subject) ? kCrashMomentsAfterAnswers : kCrashMoments;
+}
+
+bool CrashSuspects::IsExplained(std::uint64_t subject, const Suspect& suspect,
+                                const Crash& crash) const {
+  return std::any_of(this->worst.begin(), this->worst.end(), [&](std::uint64_t other_subject) {
+    const auto found = this->suspects.find(other_subject);
+    if (other_subject == subject || found == this->suspects.end()) return false;
+    const auto& other = found->second.crashes;
+    if (other.size() <= suspect.crashes.size()) return false;
+    return std::any_of(other.begin(), other.end(),
+                       [&](const Crash& its) { return its.identifier == crash.identifier; });
+  });
+}
+
+unsigned CrashSuspects::CountMoments(std::uint64_t subject, const Suspect& suspect,
+                                     bool only_unexplained) const {
+  unsigned moments = 0;
+  std::optional<core::TimePoint> begin;
+  for (const auto& crash : suspect.crashes) {
+    if (begin && crash.at - *begin <= kMomentLength) continue;
+    if (only_unexplained && this->IsExplained(subject, suspect, crash)) continue;
+    begin = crash.at;
+    ++moments;
+  }
+  return moments;
+}
+
+void CrashSuspects::FindWorst() {
+  this->worst.clear();
+  for (const auto& [subject, suspect] : this->suspects) {
+    if (suspect.crashes.size() < kCrashMoments) continue;
+    const auto needed = this->MomentsNeeded(subject);
+    if (this->CountMoments(subject, suspect, false) >= needed) this->worst.push_back(subject);
+  }
+}
+
+bool CrashSuspects::IsTold(core::TimePoint now, const Suspect& suspect) {
+  return suspect.told_at && now - *suspect.told_at < kToldRetention;
+}
+
+bool CrashSuspects::IsInQuarantine(core::TimePoint now, std::uint64_t subject,
+                                   const Suspect& suspect) const {
+  if (IsTold(now, suspect)) return true;
+  const auto needed = this->MomentsNeeded(subject);
+  if (suspect.crashes.size() < needed) return false;
+  return this->CountMoments(subject, suspect, true) >= needed;
+}
+
+std::uint64_t CrashSuspects::FailedTrials(const Suspect& suspect) const {
+  std::uint64_t own = 0;
+  if (suspect.in_quarantine) {
+    own = static_cast<std::uint64_t>(
+        std::count_if(suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash& crash) {
+          return crash.at > suspect.quarantine_begin + kCrashesInFlight;
+        }));
   }
-  if (this->suspects.size() >= kMaxSuspects) return;
-  auto& suspect = this->suspects[suspicion.request];
-  if (suspect.crashes.insert(suspicion.crash).second) suspect.last = now;
+  return std::max(own, suspect.told_failed_trials);
 }
 
-void CrashSuspects::OnSuccess(std::uint64_t request) { this->suspects.erase(request); }
+SuspectVerdict CrashSuspects::VerdictFor(core::TimePoint now, std::uint64_t subject,
+                                         std::size_t rank) const {
+  const auto found = this->suspects.find(subject);
+  if (found == this->suspects.end() || !this->IsInQuarantine(now, subject, found->second)) {
+    return SuspectVerdict::kAllowed;
+  }
+  const auto due = found->second.last + TrialDelay(this->FailedTrials(found->second)) +
+                   kTrialStep * static_cast<std::int64_t>(rank);
+  return now >= due ? SuspectVerdict::kTrial : SuspectVerdict::kRefused;
+}
+
+std::uint64_t CrashSuspects::CrashesOf(std::uint64_t subject) const {
+  const auto found = this->suspects.find(subject);
+  return found == this->suspects.end() ? 0 : found->second.crashes.size();
+}
 
-bool CrashSuspects::IsRefused(core::TimePoint now, std::uint64_t request) const {
-  const auto found = this->suspects.find(request);
-  return found != this->suspects.end() && found->second.crashes.size() >= kCrashLimit &&
-         now - found->second.last <= kRetention;
+void CrashSuspects::BeginTrial(core::TimePoint now, std::uint64_t subject) {
+  const auto found = this->suspects.find(subject);
+  if (found != this->suspects.end()) found->second.last = now;
 }
 
-std::vector<Suspicion> CrashSuspects::TakePendingSuspicions() {
-  std::vector<Suspicion> taken;
-  for (auto& entry : this->pending_suspicions) {
-    taken.push_back(entry.suspicion);
-    --entry.sends_left;
+void CrashSuspects::OnRefused(core::TimePoint now, std::uint64_t subject) {
+  const auto found = this->suspects.find(subject);
+  if (found != this->suspects.end()) found->second.last_refused = now;
+}
+
+SuspectNews CrashSuspects::TakeNews(core::TimePoint now) {
+  SuspectNews news;
+  const auto suspicions = std::min(this->pending_suspicions.size(), kMaxSuspicionsPerReport);
+  for (std::size_t index = 0; index < suspicions; ++index) {
+    auto& pending = this->pending_suspicions[index];
+    news.suspicions.push_back({pending.subject, pending.crash, now - pending.crashed_at});
+    --pending.sends_left;
   }
+  // If not all fit, the others come first next time.
+  std::rotate(this->pending_suspicions.begin(),
+              this->pending_suspicions.begin() + static_cast<std::ptrdiff_t>(suspicions),
+              this->pending_suspicions.end());
   std::erase_if(this->pending_suspicions,
-                [](const PendingSuspicion& entry) { return entry.sends_left == 0; });
-  return taken;
+                [](const PendingSuspicion& pending) { return pending.sends_left == 0; });
+  for (auto& pending : this->pending_acquittals) {
+    if (news.acquittals.size() >= kMaxAcquittalsPerReport) break;
+    news.acquittals.push_back({pending.subject, now - pending.answered_at});
+    --pending.sends_left;
+  }
+  std::erase_if(this->pending_acquittals,
+                [](const PendingAcquittal& pending) { return pending.sends_left == 0; });
+  for (const auto& [subject, suspect] : this->suspects) {
+    if (news.quarantines.size() >= kMaxQuarantinesPerReport) break;
+    const bool refuses = now - suspect.last_refused < kTellAfterRefusal;
+    if (IsTold(now, suspect) && !refuses) continue;
+    if (!this->IsInQuarantine(now, subject, suspect)) continue;
+    news.quarantines.push_back({subject, this->FailedTrials(suspect), now - suspect.last});
+  }
+  return news;
+}
+
+bool CrashSuspects::IsExpired(core::TimePoint now, const Suspect& suspect) {
+  if (!suspect.in_quarantine) {
+    return !IsTold(now, suspect) && (suspect.crashes.empty() || now - suspect.last > kRetention);
+  }
+  return now - std::max(suspect.last, suspect.last_refused) > kQuarantineRetention;
+}
+
+std::vector<QuarantineChange> CrashSuspects::Update(core::TimePoint now) {
+  std::vector<QuarantineChange> changes;
+  for (auto& [subject, suspect] : this->suspects) {
+    const bool in_quarantine = this->IsInQuarantine(now, subject, suspect);
+    if (in_quarantine == suspect.in_quarantine) continue;
+    suspect.in_quarantine = in_quarantine;
+    suspect.quarantine_begin = now;
+    changes.push_back({subject, this->CrashesOf(subject), in_quarantine});
+  }
+  std::erase_if(this->suspects, [&](const auto& entry) {
+    const bool expired = this->IsExpired(now, entry.second);
+    if (expired && entry.second.in_quarantine) {
+      changes.push_back({entry.first, this->CrashesOf(entry.first), false});
+    }
+    return expired;
+  });
+  return changes;
 }
 
 }  // namespace pomelospar::dispatch
--- a/libraries/dispatch/crash_suspects.h
+++ b/libraries/dispatch/crash_suspects.h
@@ -2,65 +2,184 @@
 #define POMELOSPAR_LIBRARIES_DISPATCH_CRASH_SUSPECTS_H_
 
 #include <cstdint>
-#include <set>
+#include <optional>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "libraries/core/clock.h"
+#include "libraries/dispatch/prompt.h"
+#include "libraries/dispatch/recent_subjects.h"
 
 namespace pomelospar::dispatch {
 
-/// Records that a request was in progress on a runner when that runner crashed.
+/// Records that a subject was in progress on a runner when that runner crashed. A subject is what
+/// may have caused the crash: a whole request, or one part of its prompt.
 struct Suspicion {
-  /// Hash of the workspace, path and body of the request.
-  std::uint64_t request = 0;
+  std::uint64_t subject = 0;
   /// Identifies the run of the runner that ended, so that a crash reported by several routers
   /// counts once.
   std::uint64_t crash = 0;
+  /// Time since the crash.
+  core::Duration age{};
 };
 
-/// Returns the hash that identifies equal requests in `Suspicion::request`.
-std::uint64_t RequestFingerprint(std::string_view workspace, std::string_view target,
-                                 std::string_view body);
+/// States that a runner answered a request with the subject completely.
+struct Acquittal {
+  std::uint64_t subject = 0;
+  /// Time since that answer.
+  core::Duration age{};
+};
+
+/// States that a router refuses requests with the subject. Routers that have seen none of the
+/// crashes, because they were restarted or cut off, refuse them too.
+struct Quarantine {
+  std::uint64_t subject = 0;
+  /// Number of trials in which the subject crashed a runner again.
+  std::uint64_t failed_trials = 0;
+  /// Time since the latest crash or trial.
+  core::Duration age{};
+};
+
+/// What the routers tell each other about suspects.
+struct SuspectNews {
+  std::vector<Suspicion> suspicions;
+  std::vector<Acquittal> acquittals;
+  std::vector<Quarantine> quarantines;
+};
+
+/// Whether a request with a subject may be sent to a runner.
+enum class SuspectVerdict {
+  kAllowed,
+  /// The subject is in quarantine, and this router may send one request to find out whether it
+  /// still is a danger; call `CrashSuspects::BeginTrial` before.
+  kTrial,
+  kRefused,
+};
+
+/// A subject whose quarantine began or ended at this router, for the log.
+struct QuarantineChange {
+  std::uint64_t subject = 0;
+  std::uint64_t crashes = 0;
+  bool begins = false;
+};
+
+/// Returns the subjects of a request: first the request as a whole, then each part of its prompt
+/// but the last one, which no other request has.
+std::vector<std::uint64_t> SubjectsOf(std::string_view workspace, std::string_view method,
+                                      std::string_view target, std::string_view body,
+                                      std::span<const PromptPart> parts);
 
-/// Detects requests that crash every runner that starts them. An engine runs about a hundred
-/// requests at once, so one crash proves little about any of them. A request is refused if it was
-/// in progress in several crashes and did not succeed in between.
+/// Detects what crashes every runner that starts to execute it: equal requests, or requests that
+/// have one part of their prompts in common. An engine runs about a hundred requests at once, so
+/// one crash proves little about any of them. A subject is put in quarantine if it was in progress
+/// in crashes at several moments and no runner has answered it completely since; crashes that a
+/// worse suspect explains do not count. A complete answer at any router ends the quarantine.
 class CrashSuspects {
  public:
-  /// A request is refused after this many crashes.
-  static constexpr std::size_t kCrashLimit = 3;
-  /// A request with `kCrashLimit` crashes is refused for this long after the latest one.
+  /// A subject that was never answered is put in quarantine after crashes at this many moments.
+  static constexpr unsigned kCrashMoments = 3;
+  /// The same for a subject that was answered before the crashes. It is probably sound, and fails
+  /// only as long as all runners fail.
+  static constexpr unsigned kCrashMomentsAfterAnswers = 6;
+  /// Crashes within this time are one moment: a failure domain, a rack or a release that ends many
+  /// runners at once is one event.
+  static constexpr core::Duration kMomentLength = std::chrono::milliseconds(250);
+  /// A crash counts for this long after the latest one of its subject.
   static constexpr core::Duration kRetention = std::chrono::minutes(2);
+  /// A quarantine lasts for this long after the latest crash, trial or refused request.
+  static constexpr core::Duration kQuarantineRetention = std::chrono::minutes(10);
 
-  /// Records a crash that this router observed and queues it for the reports to the other routers.
-  void RecordLocalCrash(core::TimePoint now, const Suspicion& suspicion);
-  /// Records a crash, whichever router observed it. Called directly for a crash that another router
-  /// reported. Repeated reports of a crash have no effect.
-  void RecordCrash(core::TimePoint now, const Suspicion& suspicion);
-  /// Removes all crashes recorded for a request that has succeeded.
-  void OnSuccess(std::uint64_t request);
-  /// Returns true if the request has reached `kCrashLimit` and its latest crash is recent.
-  bool IsRefused(core::TimePoint now, std::uint64_t request) const;
-  bool empty() const { return this->suspects.empty(); }
+  /// Records a crash that this router observed with the subjects that were in progress, and queues
+  /// it for the reports to the other routers.
+  void RecordLocalCrash(core::TimePoint now, std::uint64_t crash,
+                        std::span<const std::uint64_t> subjects);
+  /// Records that a runner answered a request with the subjects completely.
+  void OnAnswer(core::TimePoint now, std::span<const std::uint64_t> subjects);
+  /// Applies what another router reported. Repeated news has no further effect.
+  void Apply(core::TimePoint now, const SuspectNews& news);
+
+  /// Returns whether a request with the subject may be sent now. `rank` is this router's position
+  /// among the routers that may send a trial: each waits a little longer than the one before, so
+  /// that it hears of the other's trial.
+  SuspectVerdict VerdictFor(core::TimePoint now, std::uint64_t subject, std::size_t rank) const;
+  /// Call right before a request with the verdict `kTrial` is sent.
+  void BeginTrial(core::TimePoint now, std::uint64_t subject);
+  /// Call when a request with the subject was refused.
+  void OnRefused(core::TimePoint now, std::uint64_t subject);
 
-  /// Returns the suspicions to include in the next report to the other routers. Each suspicion is
-  /// included in several reports, because reports may be lost.
-  std::vector<Suspicion> TakePendingSuspicions();
+  /// Returns the news for the next report to the other routers. Suspicions and acquittals are
+  /// included in several reports, because reports may be lost; quarantines in all.
+  SuspectNews TakeNews(core::TimePoint now);
+  /// Drops what has expired. Returns the quarantines that began or ended since the last call.
+  std::vector<QuarantineChange> Update(core::TimePoint now);
+
+  /// True if no subject is suspected.
+  bool empty() const { return this->suspects.empty(); }
+  std::size_t size() const { return this->suspects.size(); }
+  std::uint64_t CrashesOf(std::uint64_t subject) const;
+  /// Number of suspicions that were not recorded because there were too many suspects.
+  std::uint64_t dropped() const { return this->dropped_suspicions; }
 
  private:
+  struct Crash {
+    std::uint64_t identifier = 0;
+    core::TimePoint at;
+  };
   struct Suspect {
-    std::set<std::uint64_t> crashes;
+    /// Crashes since the subject was last answered, in order of time.
+    std::vector<Crash> crashes;
+    /// Time at which another router last told that it refuses the subject.
+    std::optional<core::TimePoint> told_at;
+    std::uint64_t told_failed_trials = 0;
+    /// Time of the latest crash or trial at any router.
     core::TimePoint last;
+    core::TimePoint last_refused;
+    bool in_quarantine = false;
+    core::TimePoint quarantine_begin;
   };
   struct PendingSuspicion {
-    Suspicion suspicion;
+    std::uint64_t subject = 0;
+    std::uint64_t crash = 0;
+    core::TimePoint crashed_at;
+    unsigned sends_left = 0;
+  };
+  struct PendingAcquittal {
+    std::uint64_t subject = 0;
+    core::TimePoint answered_at;
     unsigned sends_left = 0;
   };
 
+  void RecordCrash(core::TimePoint now, const Suspicion& suspicion);
+  bool MakeRoom(core::TimePoint now);
+  void RecordAnswer(std::uint64_t subject, core::TimePoint at);
+  void ApplyQuarantine(core::TimePoint now, const Quarantine& told);
+  void QueueAcquittal(core::TimePoint now, std::uint64_t subject);
+  unsigned MomentsNeeded(std::uint64_t subject) const;
+  bool IsInQuarantine(core::TimePoint now, std::uint64_t subject, const Suspect& suspect) const;
+  /// Returns the number of moments in which the suspect was in progress in a crash.
+  unsigned CountMoments(std::uint64_t subject, const Suspect& suspect, bool only_unexplained) const;
+  /// Returns true if a worse suspect was in progress in the crash too.
+  bool IsExplained(std::uint64_t subject, const Suspect& suspect, const Crash& crash) const;
+  /// Finds the suspects that explain the crashes of others.
+  void FindWorst();
+  std::uint64_t FailedTrials(const Suspect& suspect) const;
+  static bool IsTold(core::TimePoint now, const Suspect& suspect);
+  static bool IsExpired(core::TimePoint now, const Suspect& suspect);
+
   std::unordered_map<std::uint64_t, Suspect> suspects;
+  /// Suspects with as many moments as a quarantine needs, explained or not.
+  std::vector<std::uint64_t> worst;
+  /// Times of the latest crashes, as far as this router knows.
+  RecentSubjects crash_times;
+  /// Times of the latest complete answers.
+  RecentSubjects answers;
+  RecentSubjects sent_acquittals;
   std::vector<PendingSuspicion> pending_suspicions;
+  std::vector<PendingAcquittal> pending_acquittals;
+  std::uint64_t dropped_suspicions = 0;
+  core::TimePoint last_cleanup;
 };
 
 }  // namespace pomelospar::dispatch
--- a/libraries/dispatch/peer_view.cc
+++ b/libraries/dispatch/peer_view.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/core/identifiers.h"
+
 namespace pomelospar::dispatch {
 
 void PeerView::Add(const PeerReport& report) {
@@ -87,6 +89,14 @@
       }));
 }
 
+std::size_t PeerView::RendezvousRankOf(std::string_view name, std::uint64_t key) const {
+  const auto own = core::CombineHashes(key, core::HashName(name));
+  return static_cast<std::size_t>(
+      std::count_if(this->reports.begin(), this->reports.end(), [&](const auto& entry) {
+        return core::CombineHashes(key, core::HashName(entry.first)) > own;
+      }));
+}
+
 EngineLoad PeerView::LoadOf(std::uint64_t runner) const {
   const auto found = this->load_sum.find(runner);
   return found == this->load_sum.end() ? EngineLoad{} : found->second;
--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -50,7 +50,7 @@
   std::unordered_map<std::uint64_t, WorkspaceUsage> workspaces;
   /// Leading parts of the prompts sent since the previous report.
   std::vector<SentPrefix> sent_prefixes;
-  std::vector<Suspicion> suspicions;
+  SuspectNews suspects;
   /// Versions of the configuration and of the runner directory that the sender holds.
   std::optional<TableProof> policy;
   std::optional<TableProof> directory;
@@ -86,6 +86,8 @@
   /// Returns how many of the reporting routers precede `name` in name order. Counts only routers of
   /// the failure domain `domain` unless it is empty.
   std::size_t RankOf(std::string_view name, std::string_view domain) const;
+  /// Returns how many of the reporting routers precede `name` in the rendezvous order of `key`.
+  std::size_t RendezvousRankOf(std::string_view name, std::uint64_t key) const;
 
  private:
   struct Received {
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -174,6 +174,7 @@
   ++this->ticks;
   this->sync->RemoveLapsedRunners();
   if (this->ticks % kTicksPerShareUpdate == 0) UpdateShareLevel(this->state);
+  if (!this->state.suspects.empty()) this->UpdateSuspects();
   if (this->ticks % kTicksPerSettingsCheck == 0) this->ReloadSettings();
   const bool ready = this->IsReady();
   if (ready != this->was_ready) {
@@ -184,6 +185,19 @@
   if (this->ticks % kTicksPerLogWrite == 0) this->log.Flush();
 }
 
+void Edge::UpdateSuspects() {
+  for (const auto& change : this->state.suspects.Update(this->state.clock.now())) {
+    this->log.Write(
+        LogLevel::kWarning, change.begins ? "quarantine" : "quarantine_ended",
+        {{"subject", fmt::format("{:x}", change.subject)}, {"crashes", change.crashes}});
+    this->state.metrics
+        .FindCounter("pomelospar_quarantine_changes_total",
+                     "Quarantines of requests and prompt parts that crashed runners.",
+                     {{"change", change.begins ? "begin" : "end"}})
+        .Add();
+  }
+}
+
 void Edge::LogLoad() {
   const double age =
       core::ToMilliseconds(this->state.clock.since_boot() - this->state.policy_confirmed_at);
@@ -195,6 +209,8 @@
                    {"accepting", this->MayAccept(core::Duration::zero())},
                    {"peers", std::uint64_t{this->state.peers.size()}},
                    {"runners", std::uint64_t{this->state.runners.size()}},
+                   {"suspects", std::uint64_t{this->state.suspects.size()}},
+                   {"dropped_suspicions", this->state.suspects.dropped()},
                    {"share_level", this->state.share_level},
                    {"share_capacity", this->state.share_capacity},
                    {"policy_age_ms", age}});
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -40,6 +40,8 @@
   void AwaitSignals();
   void Tick();
   void ScheduleTick();
+  /// Ends quarantines that are due, and logs those that began or ended.
+  void UpdateSuspects();
   void LogLoad();
   /// Logs what each workspace with requests at this router asked for and was served in the share
   /// window, here and at the other routers.
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -173,9 +173,7 @@
     }
   }
   this->RecordReportedPrefixes(report.value());
-  for (const auto& suspicion : report.value().suspicions) {
-    this->state.suspects.RecordCrash(this->state.clock.now(), suspicion);
-  }
+  this->state.suspects.Apply(this->state.clock.now(), report.value().suspects);
   if (this->on_report) this->on_report(report.value());
   this->state.peers.Apply(std::move(report.value()), this->state.clock.now());
 }
@@ -249,7 +247,7 @@
     if (usage.asked > 0.0) report.workspaces.emplace(core::HashName(name), usage);
   }
   report.sent_prefixes = std::exchange(this->state.recent_prefixes, {});
-  report.suspicions = this->state.suspects.TakePendingSuspicions();
+  report.suspects = this->state.suspects.TakeNews(now);
   if (this->fill_report) this->fill_report(report);
   return report;
 }
@@ -268,11 +266,11 @@
   }
   std::move(report.sent_prefixes.begin(), report.sent_prefixes.end(),
             std::back_inserter(this->unsent_remote_prefixes));
-  std::move(report.suspicions.begin(), report.suspicions.end(),
+  std::move(report.suspects.suspicions.begin(), report.suspects.suspicions.end(),
             std::back_inserter(this->unsent_remote_suspicions));
   if (++this->whole_reports % kReportsPerRemoteReport != 0) return;
   report.sent_prefixes = std::exchange(this->unsent_remote_prefixes, {});
-  report.suspicions = std::exchange(this->unsent_remote_suspicions, {});
+  report.suspects.suspicions = std::exchange(this->unsent_remote_suspicions, {});
   datagram = EncodeSignedReport(report, *this->key);
   this->SendToRelays(datagram);
 }
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -130,6 +130,53 @@
   return change;
 }
 
+// Milliseconds, at least 0: the age of something that the sender knows cannot be negative.
+std::uint64_t WholeMilliseconds(core::Duration age) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(FloorMilliseconds(age), 0));
+}
+
+// An age that cannot be true, such as one that would overflow, is taken as this long ago.
+core::Duration DecodeAge(std::uint64_t age_ms) {
+  constexpr std::uint64_t kLargestAgeMs = 86'400'000;
+  return std::chrono::milliseconds(std::min(age_ms, kLargestAgeMs));
+}
+
+void EncodeSuspects(const dispatch::SuspectNews& news, report::Report& message) {
+  for (const auto& suspicion : news.suspicions) {
+    auto* encoded = message.add_suspicions();
+    encoded->set_subject(suspicion.subject);
+    encoded->set_crash(suspicion.crash);
+    encoded->set_age_ms(WholeMilliseconds(suspicion.age));
+  }
+  for (const auto& acquittal : news.acquittals) {
+    auto* encoded = message.add_acquittals();
+    encoded->set_subject(acquittal.subject);
+    encoded->set_age_ms(WholeMilliseconds(acquittal.age));
+  }
+  for (const auto& quarantine : news.quarantines) {
+    auto* encoded = message.add_quarantines();
+    encoded->set_subject(quarantine.subject);
+    encoded->set_age_ms(WholeMilliseconds(quarantine.age));
+    encoded->set_failed_trials(quarantine.failed_trials);
+  }
+}
+
+dispatch::SuspectNews DecodeSuspects(const report::Report& message) {
+  dispatch::SuspectNews news;
+  for (const auto& suspicion : message.suspicions()) {
+    news.suspicions.push_back(
+        {suspicion.subject(), suspicion.crash(), DecodeAge(suspicion.age_ms())});
+  }
+  for (const auto& acquittal : message.acquittals()) {
+    news.acquittals.push_back({acquittal.subject(), DecodeAge(acquittal.age_ms())});
+  }
+  for (const auto& quarantine : message.quarantines()) {
+    news.quarantines.push_back(
+        {quarantine.subject(), quarantine.failed_trials(), DecodeAge(quarantine.age_ms())});
+  }
+  return news;
+}
+
 dispatch::PeerReport Decode(const report::Report& message) {
   dispatch::PeerReport report;
   report.sender = message.sender();
@@ -150,9 +197,7 @@
                                             .served = static_cast<double>(usage.served())};
   }
   for (const auto& prefix : message.reads()) report.sent_prefixes.push_back(Decode(prefix));
-  for (const auto& suspicion : message.suspicions()) {
-    report.suspicions.push_back({suspicion.request(), suspicion.crash()});
-  }
+  report.suspects = DecodeSuspects(message);
   if (message.has_policy()) report.policy = Decode(message.policy());
   if (message.has_directory()) report.directory = Decode(message.directory());
   if (message.has_store_regained_at_ms()) {
@@ -188,11 +233,7 @@
     encoded->set_served(Whole(usage.served));
   }
   for (const auto& prefix : report.sent_prefixes) Encode(prefix, *message.add_reads());
-  for (const auto& suspicion : report.suspicions) {
-    auto* encoded = message.add_suspicions();
-    encoded->set_request(suspicion.request);
-    encoded->set_crash(suspicion.crash);
-  }
+  EncodeSuspects(report.suspects, message);
   if (report.policy) Encode(*report.policy, *message.mutable_policy());
   if (report.directory) Encode(*report.directory, *message.mutable_directory());
   if (report.store_regained_at) {
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -103,7 +103,9 @@
     return Refusal{503, "the route's upstream is not declared", kRetryAfterWhileUnconfirmed};
   }
   this->upstream = &found->second;
-  if (this->IsCrashSuspect()) return Refusal{503, "it crashed several runners", {}};
+  this->subjects = dispatch::SubjectsOf(this->workspace, request.method, request.target,
+                                        request.body, this->facts.prompt.parts);
+  if (this->IsRefusedAsSuspect()) return this->SuspectRefusal();
   return std::nullopt;
 }
 
@@ -191,7 +193,7 @@
   Waiter waiter;
   waiter.context = this->admission_context;
   waiter.try_place = [this, timer = this->wait_timer] {
-    if (!this->TryPlace()) return false;
+    if (!this->IsRefusedAsSuspect() && !this->TryPlace()) return false;
     timer->cancel();
     return true;
   };
@@ -237,6 +239,8 @@
   }
   if (this->may_have_run || this->stream_started || this->error_response) {
     co_await this->EndUnserved(AttemptEnd::kNoResponse);
+  } else if (this->IsRefusedAsSuspect()) {
+    co_await this->Refuse(this->SuspectRefusal());
   } else {
     if (!is_beyond_share) this->engine_rejections = this->CountRejections();
     auto refusal = this->NoCapacityRefusal();
@@ -253,7 +257,7 @@
 }
 
 bool RequestSession::MayRetry(AttemptEnd end) {
-  if (this->caller_gone || this->deadline_passed || this->IsCrashSuspect()) return false;
+  if (this->caller_gone || this->deadline_passed || this->IsRefusedAsSuspect()) return false;
   if (end == AttemptEnd::kNotSent) return this->unsent_attempts < kMaxUnsentAttempts;
   if (this->sends >= this->route->maximum_attempts) return false;
   const bool safe = end == AttemptEnd::kNotExecuted && !this->may_have_run;
@@ -301,6 +305,10 @@
     this->LogEnd(status, sent ? "error_of_runner" : "caller_gone", this->failure);
     co_return;
   }
+  if (!this->may_have_run && this->IsRefusedAsSuspect()) {
+    co_await this->Refuse(this->SuspectRefusal());
+    co_return;
+  }
   if (!this->may_have_run) {
     auto refusal = this->NoCapacityRefusal();
     refusal.reason = end == AttemptEnd::kNotSent ? "no runner could be reached" : kNoRunner;
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -120,10 +120,13 @@
   /// Ends an attempt whose response is too large.
   AttemptEnd RejectOversizedResponse(http::UpstreamConnection& connection, std::string_view what);
   void OnFirstEvent();
-  /// Hash that is equal for repeated sends of the same request.
-  std::uint64_t Fingerprint() const;
-  /// True if this request has crashed so many runners that it is refused.
-  bool IsCrashSuspect() const;
+  /// Returns whether the request may be sent, by what is known of runners that crashed under it or
+  /// under a part of its prompt.
+  dispatch::SuspectVerdict CrashVerdict() const;
+  bool IsRefusedAsSuspect() const;
+  /// Begins a trial for each subject that is in quarantine. Returns false if one is refused.
+  bool MaySendAsSuspect();
+  Refusal SuspectRefusal();
   /// Call when reading a response has failed: counts a failure of the runner, and checks if the
   /// runner crashed when it closed the connection.
   void OnReadFailure(const core::Error& error);
@@ -147,6 +150,8 @@
   http::ServerExchange& exchange;
   adapter::RequestFacts facts;
   std::uint64_t attempt_hash = 0;
+  /// See `dispatch::SubjectsOf`. Set on admission.
+  std::vector<std::uint64_t> subjects;
   /// See `dispatch::PrefixHashes`. Computed once, because they are looked up for each engine.
   std::vector<std::uint64_t> prefix_hashes;
   core::TimePoint received;
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -76,6 +76,13 @@
   std::uint64_t refused_returning = 0;
 };
 
+/// A request that was in progress on a runner whose connection broke.
+struct InterruptedRequest {
+  std::string attempt_id;
+  /// See `dispatch::SubjectsOf`.
+  std::vector<std::uint64_t> subjects;
+};
+
 /// State that the parts of the router share. It is read and written on the I/O thread only.
 struct RouterState {
   RouterState(boost::asio::io_context& io_context, core::Clock runtime_clock,
@@ -144,6 +151,9 @@
   /// time is treated as one that retries after a refusal.
   std::unordered_map<std::string, core::Duration> longest_caller_timeout;
   dispatch::CrashSuspects suspects;
+  /// Requests that were interrupted by runners which may have crashed, while these are probed, by
+  /// the identifier of the crash.
+  std::unordered_map<std::uint64_t, std::vector<InterruptedRequest>> interrupted_requests;
   HeldBytesTotal held_bytes;
   /// Requests that wait for a runner, by upstream name.
   std::unordered_map<std::string, WaitQueue> waiting;
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -1,6 +1,7 @@
 // The parts of RequestSession that send the request to a runner and relay its response.
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <set>
 #include <utility>
 
 #include "libraries/core/milliseconds.h"
@@ -42,6 +44,7 @@
 // A connection is reused until this time before the runner's idle timeout, which could otherwise
 // run out while the next request is on its way.
 constexpr core::Duration kIdleTimeoutMargin = milliseconds(1000);
+constexpr std::string_view kCrashedRunners = "it or a part of it crashed several runners";
 
 // By these statuses a caller would conclude that its request was not executed. A runner's response
 // with one of them is not relayed, because only `ResponseFacts::not_executed` proves that.
@@ -63,47 +66,87 @@
   return number;
 }
 
-// The identifiers of the parts that a prompt may share with others, for the log.
-std::string SharedParts(const dispatch::Prompt& prompt) {
-  std::string text;
-  for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
-    text += fmt::format("{}{:x}", index == 0 ? "" : ",", prompt.parts[index].id);
-  }
-  return text;
-}
-
-// After a lost connection, records a crash if the runner accepts no new connection. A faulty runner
-// that only broke off its response still listens.
-asio::awaitable<void> ConfirmCrash(RouterState& state, dispatch::RunnerRecord runner,
-                                   dispatch::Suspicion suspicion, std::string request,
-                                   std::string parts) {
+// After lost connections, records a crash if the runner accepts no new connection. A faulty runner
+// that only broke off its responses still listens.
+asio::awaitable<void> ConfirmCrash(RouterState& state, std::uint64_t crash,
+                                   dispatch::RunnerRecord runner) {
   asio::steady_timer timer(state.io, kCrashProbeDelay);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   const auto opened = co_await http::UpstreamConnection::Open(runner.address, kCrashProbeTimeout);
+  const auto interrupted = state.interrupted_requests.extract(crash).mapped();
   if (opened) {
     state.log.Write(LogLevel::kInfo, "runner_still_listens",
-                    {{"request", request}, {"runner", runner.id}});
+                    {{"runner", runner.id}, {"requests", std::uint64_t{interrupted.size()}}});
     co_return;
   }
-  state.suspects.RecordLocalCrash(state.clock.now(), suspicion);
-  state.log.Write(LogLevel::kWarning, "crash_suspect",
-                  {{"request", request},
-                   {"runner", runner.id},
-                   {"crash", suspicion.crash},
-                   {"fingerprint", suspicion.request},
-                   {"parts", parts}});
+  std::set<std::uint64_t> subjects;
+  for (const auto& request : interrupted) {
+    subjects.insert(request.subjects.begin(), request.subjects.end());
+    state.log.Write(LogLevel::kWarning, "crash_suspect",
+                    {{"request", request.attempt_id},
+                     {"runner", runner.id},
+                     {"crash", crash},
+                     {"subjects", fmt::format("{:x}", fmt::join(request.subjects, ","))}});
+  }
+  const std::vector<std::uint64_t> distinct(subjects.begin(), subjects.end());
+  state.suspects.RecordLocalCrash(state.clock.now(), crash, distinct);
+  state.metrics
+      .FindCounter("pomelospar_runner_crashes_total",
+                   "Crashes of runners that interrupted requests of this router.", {})
+      .Add();
 }
 
 }  // namespace
 
-std::uint64_t RequestSession::Fingerprint() const {
-  const auto& request = this->exchange.request();
-  return dispatch::RequestFingerprint(this->workspace, request.target, request.body);
+dispatch::SuspectVerdict RequestSession::CrashVerdict() const {
+  using dispatch::SuspectVerdict;
+  auto verdict = SuspectVerdict::kAllowed;
+  if (this->state.suspects.empty()) return verdict;
+  const auto now = this->state.clock.now();
+  for (const auto subject : this->subjects) {
+    const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
+    verdict = std::max(verdict, this->state.suspects.VerdictFor(now, subject, rank));
+  }
+  return verdict;
+}
+
+bool RequestSession::IsRefusedAsSuspect() const {
+  return this->CrashVerdict() == dispatch::SuspectVerdict::kRefused;
+}
+
+bool RequestSession::MaySendAsSuspect() {
+  const auto verdict = this->CrashVerdict();
+  if (verdict == dispatch::SuspectVerdict::kAllowed) return true;
+  if (verdict == dispatch::SuspectVerdict::kRefused) return false;
+  const auto now = this->state.clock.now();
+  for (const auto subject : this->subjects) {
+    const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
+    if (this->state.suspects.VerdictFor(now, subject, rank) != dispatch::SuspectVerdict::kTrial) {
+      continue;
+    }
+    this->state.suspects.BeginTrial(now, subject);
+    this->state.log.Write(
+        LogLevel::kWarning, "crash_trial",
+        {{"request", this->facts.attempt_id}, {"subject", fmt::format("{:x}", subject)}});
+  }
+  return true;
 }
 
-bool RequestSession::IsCrashSuspect() const {
-  return !this->state.suspects.empty() &&
-         this->state.suspects.IsRefused(this->state.clock.now(), this->Fingerprint());
+RequestSession::Refusal RequestSession::SuspectRefusal() {
+  const auto now = this->state.clock.now();
+  for (const auto subject : this->subjects) {
+    const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
+    if (this->state.suspects.VerdictFor(now, subject, rank) != dispatch::SuspectVerdict::kRefused) {
+      continue;
+    }
+    this->state.suspects.OnRefused(now, subject);
+    this->state.log.Write(LogLevel::kInfo, "refused_as_suspect",
+                          {{"request", this->facts.attempt_id},
+                           {"subject", fmt::format("{:x}", subject)},
+                           {"crashes", this->state.suspects.CrashesOf(subject)}});
+  }
+  // Without Retry-After: a repeat would be refused too.
+  return {503, kCrashedRunners, {}};
 }
 
 void RequestSession::OnReadFailure(const core::Error& error) {
@@ -112,13 +155,12 @@
   auto& runner = this->reservation->runner();
   runner.health.OnFailure(this->state.clock.now());
   if (!core::Is(error, core::ErrorKind::kClosed)) return;
-  const dispatch::Suspicion suspicion = {
-      this->Fingerprint(),
-      core::CombineHashes(runner.key, static_cast<std::uint64_t>(runner.record.started_unix_ms))};
-  asio::co_spawn(this->state.io,
-                 ConfirmCrash(this->state, runner.record, suspicion, this->facts.attempt_id,
-                              SharedParts(this->facts.prompt)),
-                 asio::detached);
+  const auto crash =
+      core::CombineHashes(runner.key, static_cast<std::uint64_t>(runner.record.started_unix_ms));
+  const auto [entry, is_first] = this->state.interrupted_requests.try_emplace(crash);
+  entry->second.push_back({this->facts.attempt_id, this->subjects});
+  if (!is_first) return;
+  asio::co_spawn(this->state.io, ConfirmCrash(this->state, crash, runner.record), asio::detached);
 }
 
 asio::awaitable<AttemptEnd> RequestSession::Attempt() {
@@ -147,6 +189,11 @@
     this->pool.Release(std::move(connection));
     co_return AttemptEnd::kNotSent;
   }
+  if (!this->MaySendAsSuspect()) {
+    this->failure = kCrashedRunners;
+    this->pool.Release(std::move(connection));
+    co_return AttemptEnd::kNotSent;
+  }
   connection->AcceptCloseDelimited();
   this->active_connection = connection.get();
   this->runner_idle_timeout.reset();
@@ -323,7 +370,7 @@
     co_return AttemptEnd::kErrorResponse;
   }
   runner.health.OnSuccess(now);
-  if (!this->state.suspects.empty()) this->state.suspects.OnSuccess(this->Fingerprint());
+  this->state.suspects.OnAnswer(now, this->subjects);
   runner.health.OnLatency(ToMilliseconds(now - this->sent_at));
   const auto status = response.status;
   const auto sent = co_await this->exchange.Respond(std::move(response));
@@ -408,8 +455,9 @@
     }
     if (!this->ReservePartialEvent()) co_return this->RejectOversizedResponse(connection, "event");
   }
-  runner.health.OnSuccess(this->state.clock.now());
-  if (!this->state.suspects.empty()) this->state.suspects.OnSuccess(this->Fingerprint());
+  const auto now = this->state.clock.now();
+  runner.health.OnSuccess(now);
+  this->state.suspects.OnAnswer(now, this->subjects);
   const auto finished = co_await this->exchange.FinishStream();
   this->LogEnd(200, finished ? "answered" : "caller_gone", "");
   co_return AttemptEnd::kDelivered;
--- /dev/null
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -0,0 +1,213 @@
+#include "libraries/dispatch/crash_suspects.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "libraries/core/clock.h"
+
+namespace pomelospar::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr core::Duration kApart = CrashSuspects::kMomentLength + milliseconds(50);
+
+class CrashSuspectsTest : public testing::Test {
+ protected:
+  void Crash(CrashSuspects& suspects, std::uint64_t crash,
+             std::initializer_list<std::uint64_t> subjects) {
+    this->clock.Advance(kApart);
+    suspects.RecordLocalCrash(this->clock.now(), crash, std::vector(subjects));
+  }
+  void Answer(CrashSuspects& suspects, std::uint64_t subject) {
+    suspects.OnAnswer(this->clock.now(), std::array{subject});
+  }
+  void Report(CrashSuspects& from, CrashSuspects& to) {
+    to.Apply(this->clock.now(), from.TakeNews(this->clock.now()));
+  }
+  SuspectVerdict Verdict(const CrashSuspects& suspects, std::uint64_t subject,
+                         std::size_t rank = 0) {
+    return suspects.VerdictFor(this->clock.now(), subject, rank);
+  }
+  bool IsRefused(const CrashSuspects& suspects, std::uint64_t subject) {
+    return this->Verdict(suspects, subject) == SuspectVerdict::kRefused;
+  }
+
+  core::ManualClock clock;
+  CrashSuspects local;
+  CrashSuspects remote;
+};
+
+TEST(SubjectsOfTest, SeparatesRequestsAndLeavesOutTheLastPart) {
+  const std::vector<PromptPart> parts = {{1, 10.0}, {2, 10.0}, {3, 10.0}};
+  const auto subjects = SubjectsOf("w", "POST", "/x", "body", parts);
+  ASSERT_EQ(subjects.size(), 3U);
+  EXPECT_NE(subjects[0], SubjectsOf("w", "GET", "/x", "body", parts)[0]);
+  EXPECT_NE(subjects[0], SubjectsOf("w", "POST", "/xb", "ody", parts)[0]);
+  EXPECT_NE(subjects[0], SubjectsOf("v", "POST", "/x", "body", parts)[0]);
+  const auto others = SubjectsOf("v", "POST", "/y", "text", std::array{parts[1], parts[0]});
+  EXPECT_EQ(others[1], subjects[2]);
+  EXPECT_EQ(SubjectsOf("w", "POST", "/x", "body", {}).size(), 1U);
+}
+
+// What crashes every runner must be refused after the third crash, whichever routers observed the
+// crashes.
+TEST_F(CrashSuspectsTest, RefusesAfterThreeCrashesOfTheFleet) {
+  this->Crash(this->local, 1, {7});
+  this->Crash(this->local, 2, {7});
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kAllowed);
+  this->Report(this->local, this->remote);
+  this->Report(this->local, this->remote);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
+  this->Crash(this->remote, 2, {7});
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
+  this->Crash(this->remote, 3, {7});
+  EXPECT_TRUE(this->IsRefused(this->remote, 7));
+  this->Report(this->remote, this->local);
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+}
+
+// A failure domain or a rack that fails must not look like a request that ends one runner after
+// the other.
+TEST_F(CrashSuspectsTest, CountsCrashesOfOneMomentOnce) {
+  for (std::uint64_t crash = 0; crash < 10; ++crash) {
+    this->local.RecordLocalCrash(this->clock.now(), crash, std::array<std::uint64_t, 1>{7});
+    this->clock.Advance(milliseconds(10));
+  }
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kAllowed);
+  EXPECT_EQ(this->local.CrashesOf(7), 10U);
+}
+
+// A request that often runs beside one that crashes runners must not be refused.
+TEST_F(CrashSuspectsTest, ForgetsWhatIsAnswered) {
+  for (std::uint64_t crash = 0; crash < 5; ++crash) {
+    this->Crash(this->local, crash, {7});
+    this->Answer(this->local, 7);
+  }
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kAllowed);
+}
+
+// A repeated report of a crash must not revive a suspicion that an answer has refuted.
+TEST_F(CrashSuspectsTest, IgnoresLateReportsOfCrashesBeforeTheLatestAnswer) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  this->Report(this->local, this->remote);
+  EXPECT_TRUE(this->IsRefused(this->remote, 7));
+  this->clock.Advance(milliseconds(10));
+  this->Answer(this->remote, 7);
+  this->Report(this->local, this->remote);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
+  this->Report(this->remote, this->local);
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kAllowed);
+}
+
+// A part that many requests share fails while all runners fail. It must not be refused as soon as
+// something that was never answered.
+TEST_F(CrashSuspectsTest, NeedsMoreCrashesOfWhatWasAnsweredBefore) {
+  this->Answer(this->remote, 7);
+  this->clock.Advance(seconds(30));
+  for (std::uint64_t crash = 0; crash < 3; ++crash) {
+    this->Crash(this->local, crash, {7, 8});
+    this->Report(this->local, this->remote);
+    this->Report(this->remote, this->local);
+  }
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kAllowed);
+  EXPECT_TRUE(this->IsRefused(this->local, 8));
+  for (std::uint64_t crash = 3; crash < 6; ++crash) this->Crash(this->local, crash, {7});
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+}
+
+// What was in progress beside a worse suspect must come free without an answer of its own.
+TEST_F(CrashSuspectsTest, DoesNotCountCrashesThatAWorseSuspectExplains) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7, 8});
+  EXPECT_TRUE(this->IsRefused(this->local, 8));
+  this->Crash(this->local, 3, {7});
+  EXPECT_EQ(this->Verdict(this->local, 8), SuspectVerdict::kAllowed);
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+}
+
+// A sound subject in quarantine must come free although nobody may send it, and a dangerous one
+// must not cost a runner at each router.
+TEST_F(CrashSuspectsTest, SendsRareTrials) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  this->Report(this->local, this->remote);
+  static_cast<void>(this->local.Update(this->clock.now()));
+  this->clock.Advance(seconds(5));
+  EXPECT_EQ(this->Verdict(this->local, 7, 0), SuspectVerdict::kTrial);
+  EXPECT_TRUE(this->Verdict(this->remote, 7, 1) == SuspectVerdict::kRefused);
+  this->local.BeginTrial(this->clock.now(), 7);
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+  this->clock.Advance(milliseconds(200));
+  this->Report(this->local, this->remote);
+  this->clock.Advance(milliseconds(800));
+  EXPECT_EQ(this->Verdict(this->remote, 7, 1), SuspectVerdict::kRefused);
+  this->Crash(this->local, 3, {7});
+  this->clock.Advance(seconds(59));
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+  this->clock.Advance(seconds(1));
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kTrial);
+  this->Crash(this->local, 4, {7});
+  this->clock.Advance(minutes(9));
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+}
+
+// A router that was restarted knows no crash. It must refuse what the others refuse, as long as
+// they do, and pass it on if they are restarted in turn.
+TEST_F(CrashSuspectsTest, LearnsQuarantinesFromOtherRouters) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  for (int report = 0; report < 12; ++report) static_cast<void>(this->local.TakeNews({}));
+  this->Report(this->local, this->remote);
+  EXPECT_TRUE(this->IsRefused(this->remote, 7));
+  this->remote.OnRefused(this->clock.now(), 7);
+  CrashSuspects third;
+  this->Report(this->remote, third);
+  EXPECT_TRUE(this->IsRefused(third, 7));
+  CrashSuspects fourth;
+  this->Report(third, fourth);
+  EXPECT_EQ(this->Verdict(fourth, 7), SuspectVerdict::kAllowed);
+  this->clock.Advance(seconds(11));
+  EXPECT_EQ(this->Verdict(third, 7), SuspectVerdict::kAllowed);
+}
+
+// A suspicion must end when nothing confirms it.
+TEST_F(CrashSuspectsTest, ExpiresSuspicionsAndQuarantines) {
+  this->Crash(this->local, 1, {7});
+  for (std::uint64_t crash = 2; crash < 5; ++crash) this->Crash(this->local, crash, {8});
+  const auto begun = this->local.Update(this->clock.now());
+  ASSERT_EQ(begun.size(), 1U);
+  EXPECT_TRUE(begun[0].begins);
+  EXPECT_EQ(begun[0].subject, 8U);
+  this->clock.Advance(CrashSuspects::kRetention + seconds(1));
+  EXPECT_TRUE(this->local.Update(this->clock.now()).empty());
+  EXPECT_EQ(this->local.size(), 1U);
+  this->local.OnRefused(this->clock.now(), 8);
+  this->clock.Advance(CrashSuspects::kQuarantineRetention - seconds(1));
+  EXPECT_TRUE(this->local.Update(this->clock.now()).empty());
+  this->clock.Advance(seconds(2));
+  const auto ended = this->local.Update(this->clock.now());
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_FALSE(ended[0].begins);
+  EXPECT_TRUE(this->local.empty());
+}
+
+// The state and the reports must not grow with what callers send.
+TEST_F(CrashSuspectsTest, IsBounded) {
+  for (std::uint64_t crash = 0; crash < 40; ++crash) {
+    std::vector<std::uint64_t> subjects(1000);
+    for (std::size_t index = 0; index < subjects.size(); ++index) {
+      subjects[index] = crash * 1000 + index;
+    }
+    this->local.RecordLocalCrash(this->clock.now(), crash, subjects);
+  }
+  EXPECT_LE(this->local.size(), 8192U);
+  EXPECT_GT(this->local.dropped(), 0U);
+  const auto news = this->local.TakeNews(this->clock.now());
+  EXPECT_LE(news.suspicions.size() + news.acquittals.size() + news.quarantines.size(), 400U);
+}
+
+}  // namespace
+}  // namespace pomelospar::dispatch
--- a/tests/libraries/dispatch/state_test.cc
+++ b/tests/libraries/dispatch/state_test.cc
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "libraries/core/clock.h"
-#include "libraries/dispatch/crash_suspects.h"
 #include "libraries/dispatch/peer_view.h"
 #include "libraries/dispatch/policy.h"
 #include "libraries/dispatch/prefix_index.h"
@@ -364,39 +363,6 @@
   EXPECT_LT(health.slowdown(clock.now()), 1.1);
 }
 
-// A request that crashes every runner is sent again through any router. It must be refused after
-// the third crash, whichever routers observed the crashes.
-TEST(CrashSuspectsTest, RefusesAfterThreeCrashesOfTheFleet) {
-  core::ManualClock clock;
-  CrashSuspects local;
-  CrashSuspects remote;
-  const auto request = RequestFingerprint("w", "/x", "body");
-  EXPECT_NE(request, RequestFingerprint("w", "/xb", "ody"));
-  local.RecordLocalCrash(clock.now(), {request, 1});
-  local.RecordLocalCrash(clock.now(), {request, 2});
-  EXPECT_FALSE(local.IsRefused(clock.now(), request));
-  for (const auto& suspicion : local.TakePendingSuspicions()) {
-    remote.RecordCrash(clock.now(), suspicion);
-  }
-  remote.RecordCrash(clock.now(), {request, 2});
-  EXPECT_FALSE(remote.IsRefused(clock.now(), request));
-  remote.RecordLocalCrash(clock.now(), {request, 3});
-  EXPECT_TRUE(remote.IsRefused(clock.now(), request));
-  clock.Advance(CrashSuspects::kRetention + seconds(1));
-  EXPECT_FALSE(remote.IsRefused(clock.now(), request));
-}
-
-// A request that often runs beside one that crashes runners must not be refused.
-TEST(CrashSuspectsTest, ForgetsARequestThatSucceeds) {
-  core::ManualClock clock;
-  CrashSuspects suspects;
-  for (std::uint64_t crash = 0; crash < 5; ++crash) {
-    suspects.RecordLocalCrash(clock.now(), {7, crash});
-    suspects.OnSuccess(7);
-  }
-  EXPECT_FALSE(suspects.IsRefused(clock.now(), 7));
-}
-
 // A single late timer, as a CPU quota causes it, must not turn callers away.
 TEST(ProcessorLoadTest, ToleratesASingleLateTimer) {
   core::ManualClock clock;
