Http tests, System tests: Responses that are cut off in their heads or end with their connection

Report of another operator: a runner stopped in the middle of a response's head and closed, and callers got a 200 with an empty or short body. It does not happen here: cut after each byte of three kinds of head, no response is taken as whole; the router answers 502. A body or stream that has neither a length nor chunks ends as it does at the runner: whole at its close, broken off by a reset or inside an event.

--- a/tests/libraries/http/upstream_test.cc
+++ b/tests/libraries/http/upstream_test.cc
@@ -2,7 +2,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <string>
 #include <tuple>
+#include <vector>
 
 #include "libraries/http/byte_stream.h"
 #include "libraries/http/http_client.h"
@@ -110,6 +112,34 @@
   });
 }
 
+// A response whose head was cut off by the end of the connection must not be taken as a whole one
+// with a short or empty body, also where a body may end with the connection.
+TEST(UpstreamConnectionTest, TellsHeadsThatWereCutOffFromWholeOnes) {
+  const std::vector<std::string> responses = {
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n"};
+  std::vector<ScriptedUpstream::Script> scripts;
+  for (const auto& response : responses) {
+    const auto head_end = response.find("\r\n\r\n") + 4;
+    for (std::size_t bytes = 0; bytes < head_end; ++bytes) {
+      scripts.push_back({response.substr(0, bytes), true, {}});
+    }
+  }
+  asio::io_context io{1};
+  ScriptedUpstream upstream(io, scripts);
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    for (const auto& script : scripts) {
+      auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
+      const auto connection = std::move(opened.value());
+      connection->AcceptCloseDelimited();
+      const auto body = co_await ReadWhole(*connection);
+      EXPECT_TRUE(body.has_error()) << script.bytes;
+      EXPECT_FALSE(connection->reusable());
+    }
+  });
+}
+
 // Unsolicited bytes on an idle connection must not be read as the response to the next request.
 TEST(UpstreamPoolTest, DoesNotReuseDisturbedConnections) {
   asio::io_context io{1};
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -7,6 +7,8 @@
 import asyncio
 import base64
 import json
+import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -170,7 +172,9 @@
     "error", "no_receipt", "unframed", "extra" (a second response after each), "refuse_silently" (a 503
     that does not say that nothing ran), "crash", "hang", and the keys of `ENDLESS_RESPONSES` and
     `SLOW_RESPONSES`, which send bytes until the connection is closed. With `crashing_part`, a request
-    whose prompt has this part ends the runner as soon as it is executed.
+    whose prompt has this part ends the runner as soon as it is executed. "cut_head" closes the connection
+    after `cut_after` bytes of the response's head. "unframed" responses have neither a length nor chunks;
+    those that are "unframed_reset" or "unframed_inside_event" are broken off.
     """
 
     def __init__(self, identifier, service):
@@ -180,6 +184,7 @@
         self.crashing_part = None
         self.execution_seconds = 0.0
         self.break_after = 3
+        self.cut_after = 0
         self.events = 8
         self.event_interval = 0.005
         self.requests = []
@@ -277,12 +282,19 @@
         if self.fault == "no_receipt":
             writer.write(response(200, b"spoiled", known[:1]))
             return True
+        if self.fault == "cut_head":
+            writer.write(response(200, b"", known)[: self.cut_after])
+            return False
         if line.split()[1].startswith("/s/"):
+            if self.fault in ("unframed", "unframed_reset", "unframed_inside_event"):
+                return await self.stream_unframed(known, writer)
             return await self.stream(headers, known, writer)
         body = f"whole answer to {identifier}".encode()
-        if self.fault == "unframed":
+        if self.fault in ("unframed", "unframed_reset"):
             head = "HTTP/1.1 200 OK\r\n" + "".join(f"{n}: {v}\r\n" for n, v in known) + "\r\n"
             writer.write(head.encode() + body)
+            if self.fault == "unframed_reset":
+                await self.reset(writer)
             return False
         writer.write(response(200, body, known))
         if self.fault == "extra":
@@ -308,6 +320,29 @@
             await writer.drain()
             self.endless_bytes_sent += len(repeated)
 
+    async def reset(self, writer):
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        # Closing with this option resets the connection.
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    async def stream_unframed(self, known, writer):
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        writer.write((head + "".join(f"{n}: {v}\r\n" for n, v in known) + "\r\n").encode())
+        for number in range(1, self.events + 1):
+            writer.write(f"id: {number}\ndata: part-{number}\n\n".encode())
+            await writer.drain()
+            await asyncio.sleep(self.event_interval)
+            if number == self.break_after and self.fault == "unframed_inside_event":
+                writer.write(f"id: {number + 1}\nda".encode())
+                return False
+            if number == self.break_after and self.fault == "unframed_reset":
+                await self.reset(writer)
+                return False
+        return False
+
     async def stream(self, headers, known, writer):
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         writer.write((head + "".join(f"{n}: {v}\r\n" for n, v in known) + "\r\n").encode())
--- a/tests/system/test_platform_path.py
+++ b/tests/system/test_platform_path.py
@@ -223,6 +223,32 @@
         status, _, body = self.send("/l/1", method="GET")
         self.assertEqual((status, body), (200, f"whole answer to {self.attempt()}".encode()))
 
+    # Guards against a whole response made of one whose head was cut off.
+    def test_a_response_cut_off_in_its_head_is_no_success(self):
+        for cut_after in (0, 9, 15, 17, 30, 37, 60, 80):
+            with self.subTest(cut_after=cut_after):
+                for runner in self.desk + self.engines:
+                    runner.fault = "cut_head"
+                    runner.cut_after = cut_after
+                for path in ("/b/1", "/s/1"):
+                    self.assertEqual(self.send(path)[0], 502)
+
+    # Guards against a stream that ends with its connection and is taken as complete although it was broken
+    # off, and against one that is taken as broken although it is complete.
+    def test_a_stream_delimited_by_connection_close_ends_as_it_does_at_the_runner(self):
+        for fault, expected in (("unframed", self.events()), ("unframed_inside_event", None), ("unframed_reset", None)):
+            with self.subTest(fault=fault):
+                for runner in self.engines:
+                    runner.fault = fault
+                status, _, body = self.send("/s/1")
+                self.assertEqual((status, body), (200, expected))
+
+    # Guards against a body that was reset on its way and is taken as complete.
+    def test_a_body_delimited_by_a_reset_is_no_success(self):
+        for runner in self.desk:
+            runner.fault = "unframed_reset"
+        self.assertEqual(self.send("/b/1")[0], 502)
+
     # Guards against runners that keep working after the caller has disconnected.
     def test_cancels_at_the_runner_when_the_caller_leaves(self):
         for runner in self.desk:
