Dispatch, Edge, Adapter: Heed runners that say that they leave, and runners that ask for rest

A runner that said in its responses that it leaves got new requests for as long as its entry said ready, and one that turned requests away with 503 and Retry-After got further ones after 100 ms: nothing read either header. Now a response of any kind marks the run of the runner as leaving, until the runner starts again; the reports tell the other routers, by run, so that they need not find out each for itself. A rest holds until its end (five minutes at most), then one request is sent before there are more; while all runners rest, callers are refused at once with a Retry-After of the earliest return. It is asked again right before the bytes go out. Server-Leaving is not relayed to callers.

--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -35,6 +35,13 @@
   std::vector<PromptPart> parts;
 };
 
+/// One run of a runner; a restarted runner with the same identifier has another one.
+struct RunnerRun {
+  /// Hash of the runner's identifier.
+  std::uint64_t runner = 0;
+  std::int64_t started_unix_ms = 0;
+};
+
 /// Report of one router about its own work, sent to the other routers. Keys of the maps are hashes
 /// of names.
 struct PeerReport {
@@ -51,6 +58,8 @@
   /// Leading parts of the prompts sent since the previous report.
   std::vector<SentPrefix> sent_prefixes;
   SuspectNews suspects;
+  /// Runners that said in a response that they leave.
+  std::vector<RunnerRun> leaving_runners;
   /// Versions of the configuration and of the runner directory that the sender holds.
   std::optional<TableProof> policy;
   std::optional<TableProof> directory;
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -174,10 +174,20 @@
   }
   this->RecordReportedPrefixes(report.value());
   this->state.suspects.Apply(this->state.clock.now(), report.value().suspects);
+  this->ApplyLeavingRunners(report.value());
   if (this->on_report) this->on_report(report.value());
   this->state.peers.Apply(std::move(report.value()), this->state.clock.now());
 }
 
+void PeerExchange::ApplyLeavingRunners(const dispatch::PeerReport& report) {
+  for (const auto& run : report.leaving_runners) {
+    const auto found = this->state.runners_by_key.find(run.runner);
+    if (found == this->state.runners_by_key.end()) continue;
+    if (found->second->record.started_unix_ms != run.started_unix_ms) continue;
+    MarkLeaving(this->state, *found->second, report.sender);
+  }
+}
+
 void PeerExchange::RecordReportedPrefixes(const dispatch::PeerReport& report) {
   if (!this->state.policy) return;
   const auto now = this->state.clock.now();
@@ -241,6 +251,9 @@
   this->SetHeader(report);
   for (const auto& [id, runner] : this->state.runners) {
     if (runner->own.active > 0.0) report.runners.emplace(runner->key, runner->own);
+    if (runner->notices.leaving) {
+      report.leaving_runners.push_back({runner->key, runner->record.started_unix_ms});
+    }
   }
   for (const auto& [name, window] : this->state.workspaces) {
     const dispatch::WorkspaceUsage usage = UsageAt(window, now);
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -82,6 +82,7 @@
   void SendToOtherDomains(std::string_view datagram);
   void SendToRelays(std::string_view datagram);
   void Receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender);
+  void ApplyLeavingRunners(const dispatch::PeerReport& report);
   /// Records the reported prompt prefixes at their runners.
   void RecordReportedPrefixes(const dispatch::PeerReport& report);
   dispatch::PeerReport MakeReport();
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -198,6 +198,9 @@
   }
   for (const auto& prefix : message.reads()) report.sent_prefixes.push_back(Decode(prefix));
   report.suspects = DecodeSuspects(message);
+  for (const auto& run : message.leaving_runners()) {
+    report.leaving_runners.push_back({run.runner(), run.started_unix_ms()});
+  }
   if (message.has_policy()) report.policy = Decode(message.policy());
   if (message.has_directory()) report.directory = Decode(message.directory());
   if (message.has_store_regained_at_ms()) {
@@ -234,6 +237,11 @@
   }
   for (const auto& prefix : report.sent_prefixes) Encode(prefix, *message.add_reads());
   EncodeSuspects(report.suspects, message);
+  for (const auto& run : report.leaving_runners) {
+    auto* encoded = message.add_leaving_runners();
+    encoded->set_runner(run.runner);
+    encoded->set_started_unix_ms(run.started_unix_ms);
+  }
   if (report.policy) Encode(*report.policy, *message.mutable_policy());
   if (report.directory) Encode(*report.directory, *message.mutable_directory());
   if (report.store_regained_at) {
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -1,6 +1,7 @@
 // The parts of RequestSession that choose a runner.
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "libraries/core/identifiers.h"
@@ -31,7 +32,10 @@
   const auto now = this->state.clock.now();
   candidates.reserve(found->second.size());
   for (const auto& runner : found->second) {
-    if (!AcceptsNewRequests(*runner) || !runner->health.IsUsable(now)) continue;
+    if (!AcceptsNewRequests(*runner) || !runner->health.IsUsable(now) ||
+        !dispatch::MaySend(runner->notices, now, runner->own.active)) {
+      continue;
+    }
     if (std::find(this->tried.begin(), this->tried.end(), runner->record.id) != this->tried.end()) {
       continue;
     }
@@ -40,6 +44,19 @@
   return candidates;
 }
 
+core::Duration RequestSession::TimeUntilRested() const {
+  const auto found = this->state.runners_by_upstream.find(this->upstream->name);
+  if (found == this->state.runners_by_upstream.end()) return core::Duration::zero();
+  const auto now = this->state.clock.now();
+  std::optional<core::TimePoint> earliest;
+  for (const auto& runner : found->second) {
+    if (!AcceptsNewRequests(*runner)) continue;
+    if (!dispatch::IsResting(runner->notices, now)) return core::Duration::zero();
+    earliest = std::min(earliest.value_or(core::TimePoint::max()), runner->notices.rest_until);
+  }
+  return earliest ? *earliest - now : core::Duration::zero();
+}
+
 bool RequestSession::TryPlace() {
   return this->upstream->engine ? this->PlaceEngine(*this->upstream->engine) : this->PlaceService();
 }
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -80,6 +80,9 @@
   boost::asio::awaitable<void> WaitInQueue(core::TimePoint until);
   /// Chooses a runner and sets `reservation`; returns false if no runner has room.
   bool TryPlace();
+  /// Returns the time until the first runner wants requests again; zero if one does now, or if
+  /// there is none.
+  core::Duration TimeUntilRested() const;
   /// Returns the time until the workspace's share admits the request to an engine.
   core::Duration TimeUntilWithinShare();
   bool PlaceEngine(const dispatch::EngineLimits& limits);
@@ -109,6 +112,8 @@
   boost::asio::awaitable<AttemptEnd> Exchange(http::UpstreamConnection& connection);
   boost::asio::awaitable<core::Result<http::ResponseHead>> ReadMatchingHead(
       http::UpstreamConnection& connection);
+  /// Records what the runner says about itself in the response to this request.
+  void RecordNotices(const adapter::ResponseFacts& response, unsigned status);
   boost::asio::awaitable<AttemptEnd> HandleResponse(http::UpstreamConnection& connection,
                                                     http::ResponseHead head);
   boost::asio::awaitable<AttemptEnd> RelayCompleteResponse(http::UpstreamConnection& connection,
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -30,7 +30,15 @@
   return load;
 }
 
-bool AcceptsNewRequests(const Runner& runner) { return !runner.record.draining; }
+bool AcceptsNewRequests(const Runner& runner) {
+  return !runner.record.draining && !runner.notices.leaving;
+}
+
+void MarkLeaving(RouterState& state, Runner& runner, std::string_view source) {
+  if (std::exchange(runner.notices.leaving, true)) return;
+  state.log.Write(core::LogLevel::kInfo, "runner_leaves",
+                  {{"runner", runner.record.id}, {"source", source}});
+}
 
 std::size_t CountWaiting(const RouterState& state) {
   std::size_t count = 0;
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -29,6 +29,7 @@
 #include "libraries/dispatch/retry_allowance.h"
 #include "libraries/dispatch/runner.h"
 #include "libraries/dispatch/runner_health.h"
+#include "libraries/dispatch/runner_notices.h"
 #include "libraries/dispatch/share_window.h"
 #include "libraries/metrics/metrics_registry.h"
 #include "platform/settings.h"
@@ -56,6 +57,7 @@
   dispatch::EngineLoad own;
   LoadOfOthers load_of_others;
   dispatch::RunnerHealth health;
+  dispatch::RunnerNotices notices;
   /// Prompt prefixes that the runner's engine probably has in its cache.
   dispatch::PrefixRecord prefixes;
   /// Set while the runner's entry is missing after an outage of the store: the runner is removed at
@@ -182,9 +184,12 @@
 void RecordPrefix(Runner& runner, const dispatch::EngineLimits& limits,
                   const dispatch::EngineLoad& load, std::span<const dispatch::PromptPart> parts);
 
-/// Returns true if the runner is not draining, so that new requests may be sent to it.
+/// Returns true if the runner neither drains nor leaves, so that new requests may be sent to it.
 bool AcceptsNewRequests(const Runner& runner);
 
+/// Records that the runner leaves. `source` is "response" or the name of the router that told it.
+void MarkLeaving(RouterState& state, Runner& runner, std::string_view source);
+
 /// Returns how many requests wait for a runner.
 std::size_t CountWaiting(const RouterState& state);
 
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -183,9 +183,11 @@
   // loop is late, the caller may have closed its connection long before this is reported.
   if (this->CallerMayBeGone() && this->exchange.PeerHasClosed()) this->caller_gone = true;
   if (this->caller_gone || this->deadline_passed || !AcceptsNewRequests(runner) ||
-      !this->KeyIsStillValid() || !this->MaySendDuringStop()) {
+      dispatch::IsResting(runner.notices, this->state.clock.now()) || !this->KeyIsStillValid() ||
+      !this->MaySendDuringStop()) {
     this->failure =
-        "the runner drains, the key was revoked, the caller no longer waits or this router stops";
+        "the runner drains or rests, the key was revoked, the caller no longer waits or this "
+        "router stops";
     ++this->unsent_attempts;
     this->pool.Release(std::move(connection));
     co_return AttemptEnd::kNotSent;
@@ -252,6 +254,7 @@
   for (unsigned stray = 0; stray <= kMaxStrayResponses; ++stray) {
     BOOST_OUTCOME_CO_TRY(auto head, co_await connection.ReadHead(this->TimeLeft()));
     const auto facts = adapter::DecodeResponse(head);
+    if (facts.leaving) MarkLeaving(this->state, this->reservation->runner(), "response");
     if (MayAnswer(facts, head.status, this->facts.attempt_id, connection.is_reused())) {
       co_return head;
     }
@@ -309,12 +312,27 @@
   return this->stream_started ? AttemptEnd::kBrokenStream : AttemptEnd::kNoResponse;
 }
 
+void RequestSession::RecordNotices(const adapter::ResponseFacts& response, unsigned status) {
+  auto& runner = this->reservation->runner();
+  const auto now = this->state.clock.now();
+  if (!response.rest) {
+    if (status != 503) dispatch::OnServed(runner.notices, now);
+    return;
+  }
+  dispatch::OnRest(runner.notices, now, *response.rest);
+  this->state.log.Write(LogLevel::kInfo, "runner_rests",
+                        {{"request", this->facts.attempt_id},
+                         {"runner", runner.record.id},
+                         {"ms", ToMilliseconds(*response.rest)}});
+}
+
 asio::awaitable<AttemptEnd> RequestSession::HandleResponse(http::UpstreamConnection& connection,
                                                            http::ResponseHead head) {
   auto& runner = this->reservation->runner();
   const auto now = this->state.clock.now();
   const auto response = adapter::DecodeResponse(head);
   this->runner_idle_timeout = response.idle_timeout;
+  this->RecordNotices(response, head.status);
   if (response.not_executed) {
     // Only this send is known not to have been executed; an earlier one may have been.
     this->may_have_run = this->may_have_run_before;
@@ -348,7 +366,7 @@
   auto& runner = this->reservation->runner();
   http::HttpResponse response;
   response.status = head.status;
-  response.headers = http::RelayableHeaders(head.headers);
+  response.headers = adapter::HeadersForCaller(head);
   while (true) {
     auto piece = co_await connection.ReadPiece(this->TimeLeft());
     if (!piece) {
@@ -400,7 +418,7 @@
   if (!this->stream_started) {
     this->stream_started = true;
     http::ResponseHead own = head;
-    own.headers = http::RelayableHeaders(head.headers);
+    own.headers = adapter::HeadersForCaller(head);
     own.content_length.reset();
     own.chunked = true;
     const auto started = co_await this->exchange.StartStream(std::move(own));
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -304,6 +304,7 @@
   if (restarted) {
     runner->prefixes.Clear();
     runner->health = {};
+    runner->notices = {};
   }
   if (known && runner->record.address != record.address) {
     this->pool.Forget(runner->record.address);
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -267,6 +267,37 @@
   EXPECT_EQ(facts.idle_timeout, std::chrono::seconds(7));
 }
 
+// Guards against a runner that leaves or rests and gets more requests, and against a header that
+// takes one out of use for good.
+TEST(DecodeResponseTest, ReadsWhatARunnerSaysAboutItself) {
+  using std::chrono::milliseconds;
+  http::ResponseHead head;
+  head.status = 200;
+  head.headers = {{"server-leaving", " 1"}, {"Retry-After", "3"}, {"X-Server-Stamp", "s"}};
+  EXPECT_TRUE(DecodeResponse(head).leaving);
+  EXPECT_FALSE(DecodeResponse(head).rest.has_value());
+  ASSERT_EQ(HeadersForCaller(head).size(), 2U);
+  EXPECT_EQ(HeadersForCaller(head)[1].name, "X-Server-Stamp");
+  head.headers = {{"Server-Leaving", "0"}};
+  EXPECT_FALSE(DecodeResponse(head).leaving);
+  head.status = 421;
+  head.headers = {{"Server-Leaving", "1"}};
+  EXPECT_FALSE(DecodeResponse(head).leaving);
+  head.status = 503;
+  const auto rest = [&](std::string_view text) {
+    head.headers = {{"Retry-After", std::string(text)}};
+    return DecodeResponse(head).rest;
+  };
+  EXPECT_EQ(rest("1.25"), milliseconds(1250));
+  EXPECT_EQ(rest("0"), milliseconds(0));
+  EXPECT_EQ(rest("999999999999999999999999"), std::chrono::hours(24));
+  for (const auto* text : {"", "-1", "nan", "inf", "1e18", "soon", "1 2", "0x10"}) {
+    EXPECT_FALSE(rest(text).has_value()) << text;
+  }
+  head.headers = {{"Retry-After", "1"}, {"Retry-After", "2"}, {"Retry-After", "x"}};
+  EXPECT_EQ(DecodeResponse(head).rest, std::chrono::seconds(2));
+}
+
 constexpr std::string_view kSettings = R"(node-name = "edge-1"
 ip = "10.1.0.33"
 zone = "fes-a"
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -145,6 +145,31 @@
   EXPECT_DOUBLE_EQ(decoded.reply->others.active, 3.0);
 }
 
+TEST(PeerMessageTest, CarriesSuspectsAndLeavingRunners) {
+  using std::chrono::milliseconds;
+  auto report = Report();
+  report.suspects.suspicions = {{.subject = 1, .crash = 2, .age = milliseconds(30)}};
+  // A negative age would be a later time than now; a huge one would overflow.
+  report.suspects.acquittals = {{3, milliseconds(-5)}, {3, std::chrono::hours(1'000)}};
+  report.suspects.quarantines = {{.subject = 4, .failed_trials = 1, .age = milliseconds(700)}};
+  report.leaving_runners = {{.runner = 11, .started_unix_ms = 1'700'000'000'000}};
+  const auto verified = DecodeSignedReport(EncodeSignedReport(report, Key()), Key());
+  ASSERT_TRUE(verified.has_value());
+  const auto& suspects = verified.value().suspects;
+  ASSERT_EQ(suspects.suspicions.size(), 1U);
+  EXPECT_EQ(suspects.suspicions[0].crash, 2U);
+  EXPECT_EQ(suspects.suspicions[0].age, milliseconds(30));
+  ASSERT_EQ(suspects.acquittals.size(), 2U);
+  EXPECT_EQ(suspects.acquittals[0].age, milliseconds(0));
+  EXPECT_EQ(suspects.acquittals[1].age, std::chrono::hours(24));
+  ASSERT_EQ(suspects.quarantines.size(), 1U);
+  EXPECT_EQ(suspects.quarantines[0].failed_trials, 1U);
+  EXPECT_EQ(suspects.quarantines[0].age, milliseconds(700));
+  ASSERT_EQ(verified.value().leaving_runners.size(), 1U);
+  EXPECT_EQ(verified.value().leaving_runners[0].runner, 11U);
+  EXPECT_EQ(verified.value().leaving_runners[0].started_unix_ms, 1'700'000'000'000);
+}
+
 // Guards against a proof for a later time than its sender knows: messages carry whole milliseconds,
 // so the time must be rounded down.
 TEST(PeerMessageTest, RoundsTheTimesOfProofsDown) {
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -180,7 +180,12 @@
     def __init__(self, identifier, service):
         self.identifier = identifier
         self.service = service
+        self.born = 1700000000000
         self.fault = None
+        # True if the runner says in its responses that it leaves.
+        self.leaving = False
+        # Retry-After, as text, of the 503 with which the runner turns requests away, or None.
+        self.rest = None
         self.crashing_part = None
         self.execution_seconds = 0.0
         self.break_after = 3
@@ -221,7 +226,7 @@
                 "state": state,
                 "cold-left-ms": 0,
                 "seq-no": 1,
-                "born": 1700000000000,
+                "born": self.born,
             }
         ).encode()
 
@@ -248,6 +253,12 @@
     async def answer(self, line, headers, reader, writer):
         identifier = headers["x-attempt-id"]
         known = [("X-Attempt-Id", identifier), ("X-Server-Stamp", f"stamp-{self.identifier}")]
+        if self.leaving:
+            known.append(("Server-Leaving", "1"))
+        if self.rest is not None:
+            refused = [("X-Attempt-Id", identifier), ("X-Not-Executed", "1"), ("Retry-After", self.rest)]
+            writer.write(response(503, b"", refused))
+            return True
         if self.fault == "full":
             writer.write(response(503, b"", [("X-Attempt-Id", identifier), ("X-Not-Executed", "1")]))
             return True
@@ -403,6 +414,11 @@
         self.put("servers", identifier, runner.entry())
         return runner
 
+    def restart_under_same_identifier(self, runner):
+        """Ends a runner and starts another run of it, with its identifier and address."""
+        self.end_runner(runner)
+        return self.restart_runner(runner, runner.identifier)
+
     def end_runner(self, runner):
         async def end():
             runner.end()
@@ -412,6 +428,7 @@
     def restart_runner(self, runner, identifier):
         """Starts a new run of a crashed runner at its address, with a new identifier."""
         successor = Runner(identifier, runner.service)
+        successor.born = runner.born + 1
         successor.crashing_part = runner.crashing_part
         successor.execution_seconds = runner.execution_seconds
         successor.event_interval = runner.event_interval
@@ -421,7 +438,8 @@
             successor.server = await asyncio.start_server(successor.serve, "127.0.0.1", runner.port)
 
         self.call(start())
-        self.remove("servers", runner.identifier)
+        if identifier != runner.identifier:
+            self.remove("servers", runner.identifier)
         self.put("servers", identifier, successor.entry())
         return successor
 
--- a/tests/system/test_platform_path.py
+++ b/tests/system/test_platform_path.py
@@ -103,6 +103,68 @@
         time.sleep(DRAIN_LIMIT)
         check_no_new_work(self, self.desk[0], lambda: self.send("/l/1", method="GET")[0])
 
+    # Guards against new work for a runner that says that it leaves while its entry still says ready, for
+    # each kind of response, also while the store is away.
+    def test_no_new_work_for_a_runner_that_says_that_it_leaves(self):
+        def send(path):
+            # Prompts without common parts, so that they are spread over the engines.
+            return self.send(path, headers={"X-Prompt-Prefix": f"{self.count + 1:x}:900"})
+
+        for mode, path, runners, fault in (
+            ("ok", "/l/1", self.desk, None),
+            ("ok", "/s/1", self.engines, None),
+            ("reset", "/l/1", self.desk, "error"),
+        ):
+            with self.subTest(mode=mode, path=path, fault=fault):
+                self.platform.store.mode = mode
+                runners[0].leaving, runners[0].fault = True, fault
+                self.assertTrue(until(lambda: send(path)[0] == 200 and len(runners[0].requests) > 0, 5))
+                headers = [send(path)[1] for _ in range(10)]
+                before = len(runners[0].requests)
+                for _ in range(10):
+                    self.assertEqual(send(path)[0], 200)
+                self.assertEqual(len(runners[0].requests), before)
+                self.assertFalse(any("Server-Leaving" in header for header in headers))
+                self.platform.store.mode = "ok"
+                runners[0].leaving, runners[0].fault = False, None
+                # Another run of the runner is used again, as soon as the other one leaves.
+                time.sleep(0.5)
+                runners[0] = self.platform.restart_under_same_identifier(runners[0])
+                runners[1].leaving = True
+                self.assertTrue(until(lambda: send(path)[0] == 200 and runners[0].requests, 5))
+                runners[1].leaving = False
+                runners[1] = self.platform.restart_under_same_identifier(runners[1])
+                time.sleep(0.5)
+
+    # Guards against requests for a runner that has turned one away and asked for rest.
+    def test_no_requests_for_a_runner_that_rests(self):
+        self.desk[0].rest = "1.5"
+        self.assertTrue(until(lambda: self.send("/l/1", method="GET")[0] == 200 and self.desk[0].requests, 2))
+        rests_until = self.desk[0].requests[-1]["at"] + 1.5
+        while time.monotonic() < rests_until - 0.1:
+            self.assertEqual(self.send("/l/1", method="GET")[0], 200)
+        self.assertEqual(len(self.desk[0].requests), 1)
+        self.desk[0].rest = None
+        self.assertTrue(until(lambda: self.send("/l/1")[0] == 200 and len(self.desk[0].requests) > 1, 3))
+
+    # Guards against callers that wait in vain while all runners rest, and against absurd times.
+    def test_refuses_at_once_while_all_runners_rest(self):
+        for runner in self.desk:
+            runner.rest = "3"
+        until(lambda: all(runner.requests for runner in self.desk) or self.send("/b/1") is None, 2)
+        begun = time.monotonic()
+        status, headers, _ = self.send("/b/1")
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - begun, 0.2)
+        self.assertGreater(float(headers["Retry-After"]), 2)
+        for text in ("-1", "", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            for runner in self.engines:
+                runner.rest = text
+            self.assertEqual(self.send("/s/1")[0], 503)
+        for runner in self.engines:
+            runner.rest = None
+        self.assertTrue(until(lambda: self.send("/s/1")[0] == 200, 1))
+
     # Guards against a store outage after which expired entries are taken for runners that left.
     def test_keeps_runners_whose_entries_expired_in_an_outage(self):
         self.platform.store.mode = "reset"
