Soak: Runners that crash, leave or rest, and a part of prompts that crashes them; Docs: Crash containment; Edge: Rank routers for trials only in quarantine

The soak had none of these troubles. The rank of a router for a trial was computed for each subject of each request while anything was suspected, over all routers of the fleet; now only for subjects in quarantine. The replay sends as many requests a second as it says.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -218,15 +218,15 @@
   return suspect.told_at && now - *suspect.told_at < kToldRetention;
 }
 
-bool CrashSuspects::IsInQuarantine(core::TimePoint now, std::uint64_t subject,
-                                   const Suspect& suspect) const {
+bool CrashSuspects::IsConvicted(core::TimePoint now, std::uint64_t subject,
+                                const Suspect& suspect) const {
   if (IsTold(now, suspect)) return true;
   const auto needed = this->MomentsNeeded(subject);
   if (suspect.crashes.size() < needed) return false;
   return this->CountMoments(subject, suspect, true) >= needed;
 }
 
-std::uint64_t CrashSuspects::FailedTrials(const Suspect& suspect) const {
+std::uint64_t CrashSuspects::FailedTrials(const Suspect& suspect) {
   std::uint64_t own = 0;
   if (suspect.in_quarantine) {
     own = static_cast<std::uint64_t>(
@@ -237,13 +237,16 @@
   return std::max(own, suspect.told_failed_trials);
 }
 
+bool CrashSuspects::IsInQuarantine(core::TimePoint now, std::uint64_t subject) const {
+  const auto found = this->suspects.find(subject);
+  return found != this->suspects.end() && this->IsConvicted(now, subject, found->second);
+}
+
 SuspectVerdict CrashSuspects::VerdictFor(core::TimePoint now, std::uint64_t subject,
                                          std::size_t rank) const {
-  const auto found = this->suspects.find(subject);
-  if (found == this->suspects.end() || !this->IsInQuarantine(now, subject, found->second)) {
-    return SuspectVerdict::kAllowed;
-  }
-  const auto due = found->second.last + TrialDelay(this->FailedTrials(found->second)) +
+  if (!this->IsInQuarantine(now, subject)) return SuspectVerdict::kAllowed;
+  const auto& suspect = this->suspects.at(subject);
+  const auto due = suspect.last + TrialDelay(FailedTrials(suspect)) +
                    kTrialStep * static_cast<std::int64_t>(rank);
   return now >= due ? SuspectVerdict::kTrial : SuspectVerdict::kRefused;
 }
@@ -288,8 +291,8 @@
     if (news.quarantines.size() >= kMaxQuarantinesPerReport) break;
     const bool refuses = now - suspect.last_refused < kTellAfterRefusal;
     if (IsTold(now, suspect) && !refuses) continue;
-    if (!this->IsInQuarantine(now, subject, suspect)) continue;
-    news.quarantines.push_back({subject, this->FailedTrials(suspect), now - suspect.last});
+    if (!this->IsConvicted(now, subject, suspect)) continue;
+    news.quarantines.push_back({subject, FailedTrials(suspect), now - suspect.last});
   }
   return news;
 }
@@ -304,7 +307,7 @@
 std::vector<QuarantineChange> CrashSuspects::Update(core::TimePoint now) {
   std::vector<QuarantineChange> changes;
   for (auto& [subject, suspect] : this->suspects) {
-    const bool in_quarantine = this->IsInQuarantine(now, subject, suspect);
+    const bool in_quarantine = this->IsConvicted(now, subject, suspect);
     if (in_quarantine == suspect.in_quarantine) continue;
     suspect.in_quarantine = in_quarantine;
     suspect.quarantine_begin = now;
--- a/libraries/dispatch/crash_suspects.h
+++ b/libraries/dispatch/crash_suspects.h
@@ -100,6 +100,7 @@
   /// Applies what another router reported. Repeated news has no further effect.
   void Apply(core::TimePoint now, const SuspectNews& news);
 
+  bool IsInQuarantine(core::TimePoint now, std::uint64_t subject) const;
   /// Returns whether a request with the subject may be sent now. `rank` is this router's position
   /// among the routers that may send a trial: each waits a little longer than the one before, so
   /// that it hears of the other's trial.
@@ -151,20 +152,23 @@
     unsigned sends_left = 0;
   };
 
+  /// Records a crash, whichever router observed it.
   void RecordCrash(core::TimePoint now, const Suspicion& suspicion);
+  /// Returns false if there is no room for another suspect.
   bool MakeRoom(core::TimePoint now);
   void RecordAnswer(std::uint64_t subject, core::TimePoint at);
   void ApplyQuarantine(core::TimePoint now, const Quarantine& told);
   void QueueAcquittal(core::TimePoint now, std::uint64_t subject);
   unsigned MomentsNeeded(std::uint64_t subject) const;
-  bool IsInQuarantine(core::TimePoint now, std::uint64_t subject, const Suspect& suspect) const;
+  /// Returns true if the crashes of the suspect, or another router, put it in quarantine.
+  bool IsConvicted(core::TimePoint now, std::uint64_t subject, const Suspect& suspect) const;
   /// Returns the number of moments in which the suspect was in progress in a crash.
   unsigned CountMoments(std::uint64_t subject, const Suspect& suspect, bool only_unexplained) const;
   /// Returns true if a worse suspect was in progress in the crash too.
   bool IsExplained(std::uint64_t subject, const Suspect& suspect, const Crash& crash) const;
   /// Finds the suspects that explain the crashes of others.
   void FindWorst();
-  std::uint64_t FailedTrials(const Suspect& suspect) const;
+  static std::uint64_t FailedTrials(const Suspect& suspect);
   static bool IsTold(core::TimePoint now, const Suspect& suspect);
   static bool IsExpired(core::TimePoint now, const Suspect& suspect);
 
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -129,9 +129,9 @@
   /// Ends an attempt whose response is too large.
   AttemptEnd RejectOversizedResponse(http::UpstreamConnection& connection, std::string_view what);
   void OnFirstEvent();
-  /// Returns whether the request may be sent, by what is known of runners that crashed under it or
-  /// under a part of its prompt.
-  dispatch::SuspectVerdict CrashVerdict() const;
+  dispatch::SuspectVerdict VerdictFor(std::uint64_t subject) const;
+  /// Returns true if runners have crashed under the request or under a part of its prompt, so that
+  /// it must not be sent.
   bool IsRefusedAsSuspect() const;
   /// Begins a trial for each subject that is in quarantine. Returns false if one is refused.
   bool MaySendAsSuspect();
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -23,6 +23,7 @@
 namespace asio = boost::asio;
 using core::LogLevel;
 using core::ToMilliseconds;
+using dispatch::SuspectVerdict;
 using std::chrono::milliseconds;
 
 // A runner accepts a connection within a few milliseconds; one that does not answer is given up
@@ -98,33 +99,25 @@
 
 }  // namespace
 
-dispatch::SuspectVerdict RequestSession::CrashVerdict() const {
-  using dispatch::SuspectVerdict;
-  auto verdict = SuspectVerdict::kAllowed;
-  if (this->state.suspects.empty()) return verdict;
+dispatch::SuspectVerdict RequestSession::VerdictFor(std::uint64_t subject) const {
   const auto now = this->state.clock.now();
-  for (const auto subject : this->subjects) {
-    const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
-    verdict = std::max(verdict, this->state.suspects.VerdictFor(now, subject, rank));
-  }
-  return verdict;
+  // The rank is costly in a large fleet, and hardly any request needs it.
+  if (!this->state.suspects.IsInQuarantine(now, subject)) return SuspectVerdict::kAllowed;
+  const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
+  return this->state.suspects.VerdictFor(now, subject, rank);
 }
 
 bool RequestSession::IsRefusedAsSuspect() const {
-  return this->CrashVerdict() == dispatch::SuspectVerdict::kRefused;
+  return std::any_of(this->subjects.begin(), this->subjects.end(), [this](std::uint64_t subject) {
+    return this->VerdictFor(subject) == SuspectVerdict::kRefused;
+  });
 }
 
 bool RequestSession::MaySendAsSuspect() {
-  const auto verdict = this->CrashVerdict();
-  if (verdict == dispatch::SuspectVerdict::kAllowed) return true;
-  if (verdict == dispatch::SuspectVerdict::kRefused) return false;
-  const auto now = this->state.clock.now();
+  if (this->IsRefusedAsSuspect()) return false;
   for (const auto subject : this->subjects) {
-    const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
-    if (this->state.suspects.VerdictFor(now, subject, rank) != dispatch::SuspectVerdict::kTrial) {
-      continue;
-    }
-    this->state.suspects.BeginTrial(now, subject);
+    if (this->VerdictFor(subject) != SuspectVerdict::kTrial) continue;
+    this->state.suspects.BeginTrial(this->state.clock.now(), subject);
     this->state.log.Write(
         LogLevel::kWarning, "crash_trial",
         {{"request", this->facts.attempt_id}, {"subject", fmt::format("{:x}", subject)}});
@@ -133,13 +126,9 @@
 }
 
 RequestSession::Refusal RequestSession::SuspectRefusal() {
-  const auto now = this->state.clock.now();
   for (const auto subject : this->subjects) {
-    const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
-    if (this->state.suspects.VerdictFor(now, subject, rank) != dispatch::SuspectVerdict::kRefused) {
-      continue;
-    }
-    this->state.suspects.OnRefused(now, subject);
+    if (this->VerdictFor(subject) != SuspectVerdict::kRefused) continue;
+    this->state.suspects.OnRefused(this->state.clock.now(), subject);
     this->state.log.Write(LogLevel::kInfo, "refused_as_suspect",
                           {{"request", this->facts.attempt_id},
                            {"subject", fmt::format("{:x}", subject)},
--- a/tests/libraries/dispatch/crash_replay_test.cc
+++ b/tests/libraries/dispatch/crash_replay_test.cc
@@ -67,8 +67,8 @@
       this->elapsed = this->clock.now() - start;
       this->PlayFaults();
       this->EndRuns();
-      this->Send(this->plan.sound_per_second, false);
-      if (this->elapsed > seconds(5)) this->Send(this->plan.crashing_per_second, true);
+      this->SendAll(this->plan.sound_per_second, false);
+      if (this->elapsed > seconds(5)) this->SendAll(this->plan.crashing_per_second, true);
       this->Report();
       this->clock.Advance(kStep);
     }
@@ -155,8 +155,12 @@
     }
   }
 
-  void Send(double per_second, bool is_crashing) {
-    if (this->Draw() >= per_second * StepSeconds()) return;
+  void SendAll(double per_second, bool is_crashing) {
+    double expected = per_second * StepSeconds() + this->Draw();
+    for (; expected >= 1.0; expected -= 1.0) this->Send(is_crashing);
+  }
+
+  void Send(bool is_crashing) {
     const std::uint64_t middle = is_crashing ? kCrashingPart : 1000 + this->DrawBelow(kMiddleParts);
     const std::vector<PromptPart> parts = {
         {this->DrawBelow(kFirstParts), 100.0}, {middle, 100.0}, {this->random(), 100.0}};
--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -6,12 +6,14 @@
 two kinds of runners, each behind a proxy. Callers reuse their connections and send streams, bookings and
 lookups while faults follow each other and overlap: proxies that delay, block one or both directions or
 reset connections; a store that refuses or does not respond; routers that are shut down, paused, killed
-and restarted or whose settings file changes; runners that drain, interrupt streams, hang or respond with
-errors; keys that are revoked. From what callers and runners observe it checks:
+and restarted or whose settings file changes; runners that drain, say that they leave, ask for rest, crash,
+interrupt streams, hang or respond with errors; a part of prompts that crashes runners; keys that are
+revoked. From what callers and runners observe it checks:
 
   - a booking runs at most once, and does not run if the caller got a 429 or 503
   - a success is the runner's complete response to this request; a stream has each event once, in order
   - a revoked key does not work longer than the limit
+  - at most three requests with a part that crashes runners reach them late (see `CONTAINMENT_SECONDS`)
   - no router exits by itself, and one that is told to stop exits in time
   - after the last fault, all routers become ready and requests are served again
 
@@ -41,6 +43,14 @@
 RECOVERY_LIMIT = 12.0
 # Seconds allowed for a request whose key was accepted just before the limit to reach the runner.
 IN_FLIGHT_SECONDS = 0.3
+# The users' bound: at most this many requests with a part that crashes runners reach them later than this
+# after the fifth crash, sent by routers that were not disturbed in that time.
+CONTAINMENT_SECONDS = 3.0
+REQUESTS_AFTER_CONTAINMENT = 3
+CRASHES = 5
+CRASHING_PART = "bad1"
+# Time in seconds after which a crashed runner serves again.
+RESTART_SECONDS = 1.0
 WHOLE_STREAM = b"".join(f"id: {n}\ndata: part-{n}\n\n".encode() for n in range(1, EVENTS + 1))
 
 
@@ -65,13 +75,17 @@
 
     def send(self, identifier, kind, router, key):
         headers = caller_headers(identifier, key, deadline_ms=1500)
+        if self.soak.crashing_part_is_sent and kind == "s" and self.random.random() < 0.2:
+            headers["X-Prompt-Prefix"] = f"a1:500,{CRASHING_PART}:40,{self.random.getrandbits(48):x}:400"
         status, body = None, None
         self.soak.sent_with.append((identifier, key, time.monotonic()))
         connection = self.connections.pop(router, None)
         if connection is None:
             connection = http.client.HTTPConnection(router.ip, router.caller_port, timeout=4)
         try:
-            connection.request("GET" if kind == "l" else "POST", f"/{kind}/1", headers=headers)
+            # No two bodies are equal.
+            body_sent = None if kind == "l" else identifier.encode()
+            connection.request("GET" if kind == "l" else "POST", f"/{kind}/1", body_sent, headers)
             answer = connection.getresponse()
             status = answer.status
             body = answer.read()
@@ -93,6 +107,11 @@
         self.over = threading.Event()
         self.results, self.sent_with, self.faults, self.violations = [], [], [], []
         self.keys, self.revoked, self.version = [KEY, "key-a", "key-b"], {}, 3
+        self.crashing_part_is_sent = False
+        # Times of crashes under the crashing part, and begin and end of each disturbance of a router.
+        self.crashes, self.disturbances = [], []
+        # Runners that have crashed and not started again; changed by several threads.
+        self.down, self.lock = set(), threading.Lock()
         self.platform = Platform()
         self.platform.configure(self.version, self.keys)
         self.runners, self.proxies = [], []
@@ -101,6 +120,8 @@
                 runner = self.platform.add_runner(f"i-{service}-{number}", service)
                 proxy = Proxy(runner.port)
                 runner.port = proxy.port
+                runner.crashing_part = CRASHING_PART
+                runner.on_crash = lambda runner=runner: self.on_crash_under_part(runner)
                 self.platform.put("servers", runner.identifier, runner.entry())
                 self.runners.append(runner)
                 self.proxies.append(proxy)
@@ -156,6 +177,56 @@
         self.platform.put("servers", runner.identifier, runner.entry("draining"))
         return lambda: self.platform.put("servers", runner.identifier, runner.entry())
 
+    def rest_runner(self):
+        runner = self.random.choice(self.runners)
+        runner.rest = self.random.choice(["0.5", "2", "-1", "soon"])
+        self.record_fault(f"{runner.identifier} asks for rest: {runner.rest}")
+        return lambda: setattr(runner, "rest", None)
+
+    def say_that_runner_leaves(self):
+        runner = self.random.choice(self.runners)
+        self.record_fault(f"{runner.identifier} says that it leaves")
+        runner.leaving = True
+
+        def start_another_run():
+            runner.leaving = False
+            runner.born += 1
+            self.platform.put("servers", runner.identifier, runner.entry())
+
+        return start_another_run
+
+    def crash_runner(self):
+        runner = self.random.choice(self.runners)
+        if not self.close_runner(runner):
+            return None
+        self.record_fault(f"{runner.identifier} crashes")
+        return lambda: self.restart_runner(runner)
+
+    def on_crash_under_part(self, runner):
+        if self.close_runner(runner):
+            self.crashes.append(time.monotonic())
+            threading.Timer(RESTART_SECONDS, self.restart_runner, [runner]).start()
+
+    def close_runner(self, runner):
+        """Resets the runner's connections and stops its listener; returns False if it is down already."""
+        with self.lock:
+            if runner in self.down:
+                return False
+            self.down.add(runner)
+        self.proxies[self.runners.index(runner)].close()
+        return True
+
+    def restart_runner(self, runner):
+        runner.born += 1
+        self.proxies[self.runners.index(runner)].reopen()
+        self.platform.put("servers", runner.identifier, runner.entry())
+        with self.lock:
+            self.down.discard(runner)
+
+    def send_crashing_part(self):
+        self.record_fault("callers send a part that crashes runners")
+        self.crashing_part_is_sent = True
+
     def pause_router(self):
         router = self.random.choice(self.routers)
         self.record_fault(f"pause {router.ip}")
@@ -215,7 +286,8 @@
         undo = []
         kinds = [
             self.disturb_store_proxy, self.disturb_runner, self.delay, self.fail_store, self.fail_runner,
-            self.drain_runner, self.pause_router, self.kill_router, self.stop_router,
+            self.drain_runner, self.rest_runner, self.say_that_runner_leaves, self.crash_runner,
+            self.send_crashing_part, self.pause_router, self.kill_router, self.stop_router,
             self.change_settings, self.revoke_key,
         ]  # fmt: skip
         # Only one of these faults is active at a time: two on one router would be undone in the wrong order.
@@ -224,6 +296,8 @@
             time.sleep(self.random.uniform(0.1, 0.9))
             kind, duration = self.random.choice(kinds), self.random.uniform(0.3, 4.0)
             if kind not in on_routers or all(entry[0] not in on_routers for entry in undo):
+                if kind in on_routers + (self.disturb_store_proxy, self.fail_store, self.delay):
+                    self.disturbances.append((time.monotonic(), time.monotonic() + duration))
                 restore = kind()
                 if restore:
                     undo.append((kind, time.monotonic() + duration, restore))
@@ -233,6 +307,7 @@
         for _, _, restore in undo:
             restore()
         self.record_fault("faults over")
+        self.crashing_part_is_sent = False
         self.check(all(until(router.is_ready, RECOVERY_LIMIT) for router in self.routers), "not ready again")
         before = len(self.results)
         time.sleep(2.0)
@@ -267,6 +342,21 @@
             late = [run for run in runs.get(identifier, []) if run["at"] > limit and at > limit]
             self.check(not late, f"{identifier} ran with {key} after it was taken away")
 
+        self.check_containment()
+
+    def check_containment(self):
+        if len(self.crashes) < CRASHES:
+            return
+        limit = sorted(self.crashes)[CRASHES - 1] + CONTAINMENT_SECONDS
+        late = [
+            request["at"] - self.begun
+            for runner in self.runners
+            for request in runner.requests
+            if CRASHING_PART in request["headers"].get("x-prompt-prefix", "") and request["at"] > limit
+            if all(not begin < request["at"] < end + CONTAINMENT_SECONDS for begin, end in self.disturbances)
+        ]
+        self.check(len(late) <= REQUESTS_AFTER_CONTAINMENT, f"the part reached runners {len(late)} times: {late}")
+
     def end(self):
         self.over.set()
         for router in self.routers:
@@ -281,7 +371,11 @@
     try:
         soak.run_faults()
         served = sum(status == 200 for _, _, status, _ in soak.results)
-        print(f"seed {seed}: {len(soak.results)} requests, {served} served, {len(soak.violations)} broken", flush=True)
+        print(
+            f"seed {seed}: {len(soak.results)} requests, {served} served, {len(soak.crashes)} crashes under a part, "
+            f"{len(soak.violations)} broken",
+            flush=True,
+        )
         for message in soak.violations[:10]:
             print("  broken:", message)
         if soak.violations:
--- a/tests/system/proxy.py
+++ b/tests/system/proxy.py
@@ -22,9 +22,18 @@
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
         self.port = asyncio.run_coroutine_threadsafe(self._start(), self.loop).result(10)
 
-    async def _start(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return server.sockets[0].getsockname()[1]
+    async def _start(self, port=0):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        return self.server.sockets[0].getsockname()[1]
+
+    def close(self):
+        """Resets all connections and stops listening, like a process that crashes."""
+        self.loop.call_soon_threadsafe(self.server.close)
+        self.loop.call_soon_threadsafe(self._reset)
+
+    def reopen(self):
+        """Listens on the same port again."""
+        asyncio.run_coroutine_threadsafe(self._start(self.port), self.loop).result(10)
 
     def disturb(self, fault):
         """Sets the fault; "refuse" also resets the open connections."""
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -202,6 +202,8 @@
         self.writers = set()
         # Time at which the runner crashed, or None while it serves.
         self.crashed_at = None
+        # Called instead of closing the listener if the runner's address is not its own.
+        self.on_crash = None
 
     def crash(self, writer):
         """Closes the listener and resets the connection, like a process that crashes."""
@@ -211,6 +213,9 @@
     def end(self):
         """Closes the listener and resets all connections, like a process that crashes."""
         self.crashed_at = time.monotonic()
+        if self.on_crash:
+            self.on_crash()
+            return
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
