--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -118,12 +118,14 @@
 }
 
 void CrashSuspects::OnAnswer(core::TimePoint now, std::span<const std::uint64_t> subjects) {
+  bool any_suspected = false;
   for (const auto subject : subjects) {
     const bool suspected = this->suspects.contains(subject);
     this->RecordAnswer(subject, now);
     if (suspected) this->QueueAcquittal(now, subject);
-    if (suspected) this->FindWorst();
+    any_suspected = any_suspected || suspected;
   }
+  if (any_suspected) this->FindWorst();
 }
 
 void CrashSuspects::RecordAnswer(std::uint64_t subject, core::TimePoint at) {
