Dispatch, Edge: Tell a surge to all routers at once while no level limits it; fit reports into a datagram

In a large fleet a report takes up to 250 ms, 500 ms across failure domains, and the level was computed each 200 ms; before that the level is infinite and limits nothing. Now a router that has sent 20,000 tokens since its last report, while the level is infinite, reports at once and to all domains, and the level is computed each 50 ms until there is one.

Found while reading the reports: 256 suspicions, twice in a report to other domains, could exceed the 16 KB that a receiver reads, so that the whole report would be rejected. Now 96, with a test of the size.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -16,8 +16,9 @@
 // Number of reports that include a suspicion or an acquittal. In a large fleet only every fourth
 // report goes to other failure domains, and some datagrams are lost.
 constexpr unsigned kReportsPerNews = 12;
-// Limits of one report: with all three, it stays far below the size of a datagram.
-constexpr std::size_t kMaxSuspicionsPerReport = 256;
+// Limits of one report. A report to other failure domains has twice as many suspicions and must
+// still fit into one datagram.
+constexpr std::size_t kMaxSuspicionsPerReport = 96;
 constexpr std::size_t kMaxAcquittalsPerReport = 64;
 constexpr std::size_t kMaxQuarantinesPerReport = 32;
 // One crash makes every request of this router on that runner a suspect, and every part of it.
--- a/libraries/dispatch/share_window.cc
+++ b/libraries/dispatch/share_window.cc
@@ -1,6 +1,7 @@
 #include "libraries/dispatch/share_window.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -80,6 +81,12 @@
   return tokens;
 }
 
+bool MustReportSurge(double share_level, double unreported_tokens) {
+  // What one router of a large fleet sends in most of a second under a usual load.
+  constexpr double kSurgeTokens = 20'000.0;
+  return std::isinf(share_level) && unreported_tokens >= kSurgeTokens;
+}
+
 double MaxMinLevel(std::span<const double> demands, double capacity) {
   std::vector<double> sorted(demands.begin(), demands.end());
   std::sort(sorted.begin(), sorted.end());
--- a/libraries/dispatch/share_window.h
+++ b/libraries/dispatch/share_window.h
@@ -88,6 +88,13 @@
 /// requests varies much.
 std::vector<double> CompetingDemands(std::span<const ShareDemand> demands, double capacity);
 
+/// Returns true if a router of a large fleet must report at once, and to all failure domains, what
+/// it has sent to engines since its last report. It answers a flood that begins at all routers at
+/// the same moment: until they know each other's demand no level limits it, and one period of
+/// reports is enough to fill the queues of all engines. Once there is a level, the usual reports
+/// suffice.
+bool MustReportSurge(double share_level, double unreported_tokens);
+
 /// Returns the max-min fair level: the largest amount that each demand may receive so that the sum
 /// of min(demand, level) does not exceed the capacity. Infinite if the capacity meets all demands.
 double MaxMinLevel(std::span<const double> demands, double capacity);
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 #include <csignal>
 #include <utility>
 
@@ -185,7 +186,9 @@
 void Edge::Tick() {
   ++this->ticks;
   this->sync->RemoveLapsedRunners();
-  if (this->ticks % kTicksPerShareUpdate == 0) UpdateShareLevel(this->state);
+  // A surge must be limited at once; an existing level follows the demand of some seconds.
+  const bool is_limited = !std::isinf(this->state.share_level);
+  if (!is_limited || this->ticks % kTicksPerShareUpdate == 0) UpdateShareLevel(this->state);
   if (!this->state.suspects.empty()) this->UpdateSuspects();
   if (this->ticks % kTicksPerSettingsCheck == 0) this->ReloadSettings();
   const bool ready = this->IsReady();
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -84,14 +84,22 @@
 }
 
 void PeerExchange::Start() {
-  this->state.on_unreported_tokens = [this] {
-    if (this->state.unreported_tokens < kImmediateReportTokens || this->IsLargeFleet()) return;
-    this->ReportSoon();
-  };
+  this->state.on_unreported_tokens = [this] { this->OnUnreportedTokens(); };
   asio::co_spawn(this->state.io, this->ReceiveLoop(), asio::detached);
   asio::co_spawn(this->state.io, this->SendLoop(), asio::detached);
 }
 
+void PeerExchange::OnUnreportedTokens() {
+  const double tokens = this->state.unreported_tokens;
+  if (!this->IsLargeFleet()) {
+    if (tokens >= kImmediateReportTokens) this->ReportSoon();
+    return;
+  }
+  if (!dispatch::MustReportSurge(this->state.share_level, tokens)) return;
+  this->remote_report_due = true;
+  this->ReportSoon();
+}
+
 void PeerExchange::ReportSoon() {
   if (this->report_due) return;
   this->report_due = true;
@@ -281,7 +289,8 @@
             std::back_inserter(this->unsent_remote_prefixes));
   std::move(report.suspects.suspicions.begin(), report.suspects.suspicions.end(),
             std::back_inserter(this->unsent_remote_suspicions));
-  if (++this->whole_reports % kReportsPerRemoteReport != 0) return;
+  const bool is_due = std::exchange(this->remote_report_due, false);
+  if (++this->whole_reports % kReportsPerRemoteReport != 0 && !is_due) return;
   report.sent_prefixes = std::exchange(this->unsent_remote_prefixes, {});
   report.suspects.suspicions = std::exchange(this->unsent_remote_suspicions, {});
   datagram = EncodeSignedReport(report, *this->key);
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -82,6 +82,8 @@
   void SendToOtherDomains(std::string_view datagram);
   void SendToRelays(std::string_view datagram);
   void Receive(std::string_view datagram, const boost::asio::ip::udp::endpoint& sender);
+  /// Sends a report early if the other routers must know at once what this one has sent to engines.
+  void OnUnreportedTokens();
   void ApplyLeavingRunners(const dispatch::PeerReport& report);
   /// Records the reported prompt prefixes at their runners.
   void RecordReportedPrefixes(const dispatch::PeerReport& report);
@@ -113,6 +115,8 @@
   core::TimePoint last_report{};
   /// True if the next report was moved to an earlier time.
   bool report_due = false;
+  /// True if the next report is sent to other failure domains too, whatever its turn.
+  bool remote_report_due = false;
   std::array<char, 16384> buffer{};
 };
 
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -206,7 +206,7 @@
   EXPECT_LE(this->local.size(), 8192U);
   EXPECT_GT(this->local.dropped(), 0U);
   const auto news = this->local.TakeNews(this->clock.now());
-  EXPECT_LE(news.suspicions.size() + news.acquittals.size() + news.quarantines.size(), 400U);
+  EXPECT_LE(news.suspicions.size() + news.acquittals.size() + news.quarantines.size(), 200U);
 }
 
 }  // namespace
--- a/tests/libraries/dispatch/state_test.cc
+++ b/tests/libraries/dispatch/state_test.cc
@@ -351,6 +351,17 @@
 
 // Failures and slowness must fade without new results, because a runner that is avoided yields
 // none.
+// A flood that begins at all routers at once must be told at once while nothing limits it, and the
+// reports of a usual load must not become more.
+TEST(MustReportSurgeTest, ReportsEarlyOnlyWithoutALevel) {
+  const double unlimited = std::numeric_limits<double>::infinity();
+  EXPECT_TRUE(MustReportSurge(unlimited, 25'000.0));
+  EXPECT_FALSE(MustReportSurge(unlimited, 15'000.0));
+  EXPECT_FALSE(MustReportSurge(500'000.0, 25'000.0));
+  // The configuration names no capacity.
+  EXPECT_FALSE(MustReportSurge(0.0, 25'000.0));
+}
+
 TEST(RunnerHealthTest, ForgetsFailuresAndSlowness) {
   core::ManualClock clock;
   RunnerHealth health;
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -170,6 +170,28 @@
   EXPECT_EQ(verified.value().leaving_runners[0].started_unix_ms, 1'700'000'000'000);
 }
 
+// Guards against a report that is cut off by its receivers after many crashes, which then know none
+// of its content. Their buffer has 16 KB.
+TEST(PeerMessageTest, FitsIntoOneDatagramAfterManyCrashes) {
+  dispatch::CrashSuspects suspects;
+  const core::TimePoint now(std::chrono::hours(1));
+  for (std::uint64_t crash = 0; crash < 10; ++crash) {
+    std::vector<std::uint64_t> subjects;
+    for (std::uint64_t index = 0; index < 300; ++index) subjects.push_back(~(crash * 300 + index));
+    suspects.RecordLocalCrash(now, ~crash, subjects);
+  }
+  auto report = Report();
+  report.suspects = suspects.TakeNews(now);
+  // A report to other failure domains has the suspicions of two.
+  const auto more = suspects.TakeNews(now).suspicions;
+  report.suspects.suspicions.insert(report.suspects.suspicions.end(), more.begin(), more.end());
+  for (std::uint64_t key = 0; key < 100; ++key) {
+    report.runners[~key] = {.prefill_tokens = 1e6, .active = 100.0, .memory_tokens = 1e6};
+    report.workspaces[~key] = {.asked = 1e7, .forecast = 1e7, .served = 1e7};
+  }
+  EXPECT_LT(EncodeSignedReport(report, Key()).size(), 16'384U);
+}
+
 // Guards against a proof for a later time than its sender knows: messages carry whole milliseconds,
 // so the time must be rounded down.
 TEST(PeerMessageTest, RoundsTheTimesOfProofsDown) {
