--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -393,16 +393,17 @@
     async def run():
         return await asyncio.wait_for(play(world), 115)
 
-    code = 2
+    code, result = 2, ""
     try:
         broken = asyncio.run(run())
         code = 1 if broken else 0
+        result = f"broken: {broken}" if broken else "held"
         world.record.write("result", broken=broken, trouble=TROUBLE)
-        print(f"broken: {broken}" if broken else "held")
     except Exception as error:  # The case could not run.
+        result = f"could not run: {error!r}"
         world.record.write("result", error=repr(error))
-        print(f"could not run: {error!r}")
     finally:
         world.end()
+    print(result, flush=True)
     # Skips the end of tasks that are still waiting.
     os._exit(code)
