--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -305,6 +305,7 @@
         writer.write(response(200, f"whole answer to {fields['attempt']}".encode(),
                               self.known_headers(fields["attempt"])))
         await writer.drain()
+        self.world.ended.add(fields["attempt"])
         self.world.record.write("run_end", attempt=fields["attempt"], runner=fields["runner"])
         return True
 
@@ -318,7 +319,7 @@
         self.store_port = 0
         self.store_server = None
         self.runners, self.routers, self.tasks = [], [], []
-        self.arrivals, self.runs = [], []
+        self.arrivals, self.runs, self.ended = [], [], set()
         self.attempts = 0
 
     async def start(self, routers, zones=("zone-a", "zone-b", "zone-c")):
