--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -220,6 +220,8 @@
         self.world, self.name, self.service, self.zone = world, name, service, zone
         self.slots, self.work_s = slots, work_s
         self.crashes_on, self.back_after = None, 3.0
+        # Time from the arrival of a request until it begins to run.
+        self.begin_s = 0.0
         self.start_number = 0
         self.port = 0
         self.server = None
@@ -291,6 +293,7 @@
         self.world.record.write("arrival", **fields)
         run = self.identifier
         async with self.free:
+            await asyncio.sleep(self.begin_s)
             if run != self.identifier or writer.transport.is_closing():
                 return False
             self.world.runs.append((self.world.record.now(), attempt, run))
