--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -324,6 +324,7 @@
         self.runners, self.routers, self.tasks = [], [], []
         self.arrivals, self.runs, self.ended = [], [], set()
         self.attempts = 0
+        self.over = False
 
     async def start(self, routers, zones=("zone-a", "zone-b", "zone-c")):
         self.store.changed = asyncio.Event()
@@ -385,6 +386,19 @@
                           stamp=answered.get("x-server-stamp"))
         return attempt, status, answered, content
 
+    async def send_sound_work(self, number, path):
+        """Sound requests of another tenant, one after the other, until `over`; what is cut shows in `cut_beside`."""
+        while not self.over:
+            headers = {"X-Model": "m", "X-Token-Usage": "300,20", "X-Prompt-Prefix": f"c3:100,{number + 4096:x}:200"}
+            router = self.routers[(number + self.attempts) % len(self.routers)]
+            await self.send(router, "sound", "POST", f"{path}{number}", f"sound {number}".encode(), tenant="tenant-b",
+                            deadline_ms=12000, headers=headers)
+            await asyncio.sleep(0.02)
+
+    def cut_beside(self):
+        """Returns the sound requests that had begun to run and were cut off."""
+        return sorted({a for _, a, _ in self.runs if a.startswith("sound") and a not in self.ended})
+
     def end(self):
         for router in self.routers:
             router.end()
