--- a/review/4/play.py
+++ b/review/4/play.py
@@ -22,7 +22,7 @@
 
 async def play(world):
     await world.start(3)
-    pool = await world.add_runners("pool", 9, slots=128, work_s=0.05)
+    pool = await world.add_runners("pool", 9, slots=128, work_s=0.2)
     for runner in pool:
         runner.crashes_on = lambda line, headers: POISON in line
     engine = {"slots": 128, "kv-capacity": 953186, "stride": 5}
@@ -33,6 +33,7 @@
     if not await world.start_routers():
         raise RuntimeError("the routers did not become ready")
     await asyncio.sleep(3.5)
+    sound = [asyncio.ensure_future(world.send_sound_work(number, "/chat/sound-")) for number in range(40)]
     sent = 0
 
     async def come_again():
@@ -58,14 +59,17 @@
     await asyncio.sleep(QUIET_S)
     for _ in range(5):
         await come_again()
+    world.over = True
+    await asyncio.gather(*sound)
     crashes = [at for at, attempt, _ in world.runs if attempt.startswith("poison")]
     if len(crashes) < 3:
         raise RuntimeError("fewer than three crashes")
     limit = crashes[2] + CONTACT_S
-    late = sorted({attempt for at, attempt, _ in world.arrivals if at > limit})
-    world.record.write("counts", crashes=len(crashes), third_crash=round(crashes[2], 3), late_retries=late)
+    late = sorted({attempt for at, attempt, _ in world.arrivals if attempt.startswith("poison") and at > limit})
+    world.record.write("counts", crashes=len(crashes), third_crash=round(crashes[2], 3), late_retries=late,
+                       sound_requests_cut=world.cut_beside())
     print(f"{len(crashes)} crashes, the third at {crashes[2]:.2f} s; retries that reached runners after "
-          f"{limit:.2f} s: {len(late)}")
+          f"{limit:.2f} s: {len(late)}; sound requests cut while they ran: {len(world.cut_beside())}")
     if len(late) > ALLOWED_RETRIES:
         return f"the request reached runners in {len(late)} retries later than contact-ms after its third crash"
     return None
