Edge: Never send a request twice on one connection; match refusals by their runner

An attempt identifier tells requests apart, not the sends of one request. A connection is therefore used for one attempt of a request only, so that the identifier is unique on each connection; this holds for every response, not only for a 421. A response without an identifier is believed only on a new connection, whatever its status (before: each 421 and each failure). A 421 that names another runner than the expected one is still believed there: the process at the other end executes nothing that is sent to it, whichever request it answers.

ResponseMatchTest expected a 421 without any name to be believed on kept connections; that is the fault, and it now checks all statuses and both names. The 421 of an unknown runner without an identifier (test_platform_path) names its runner and is believed as before.

Other places that match responses with requests: the store client and the confirmation of crashes use a connection once or close it after a lost response; placement replies carry a number of their own.

--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/error.hpp>
@@ -41,6 +42,11 @@
                          fmt::format("upstream {} sent an invalid response: {}", address, what));
 }
 
+std::uint64_t NextConnectionId() {
+  static std::atomic<std::uint64_t> last{0};
+  return ++last;
+}
+
 }  // namespace
 
 struct UpstreamConnection::State {
@@ -143,6 +149,7 @@
   ByteStream stream;
   Deadline deadline;
   std::string address;
+  std::uint64_t id = NextConnectionId();
   std::optional<ResponseParser> parser;
   std::string output;
   std::string input;
@@ -282,4 +289,6 @@
 
 const std::string& UpstreamConnection::address() const { return this->state->address; }
 
+std::uint64_t UpstreamConnection::id() const { return this->state->id; }
+
 }  // namespace pomelospar::http
--- a/libraries/http/upstream_connection.h
+++ b/libraries/http/upstream_connection.h
@@ -2,6 +2,7 @@
 #define POMELOSPAR_LIBRARIES_HTTP_UPSTREAM_CONNECTION_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,6 +64,8 @@
   /// in progress as cancelled.
   void Close();
   const std::string& address() const;
+  /// Number of this connection; each connection of the process has another one.
+  std::uint64_t id() const;
 
  private:
   struct State;
--- a/libraries/http/upstream_pool.cc
+++ b/libraries/http/upstream_pool.cc
@@ -52,14 +52,18 @@
 
   /// Returns the usable connection that was released last, because it is the least likely to have
   /// been closed by the upstream.
-  std::unique_ptr<UpstreamConnection> TakeIdle(const std::string& address) {
+  std::unique_ptr<UpstreamConnection> TakeIdle(const std::string& address,
+                                               std::span<const std::uint64_t> excluded) {
     const auto entry = this->idle.find(address);
     if (entry == this->idle.end()) return nullptr;
     auto& connections = entry->second;
     std::unique_ptr<UpstreamConnection> taken;
-    while (!connections.empty() && !taken) {
-      auto candidate = std::move(connections.back());
-      connections.pop_back();
+    for (auto position = connections.end(); position != connections.begin() && !taken;) {
+      --position;
+      const auto id = position->connection->id();
+      if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) continue;
+      auto candidate = std::move(*position);
+      position = connections.erase(position);
       --this->idle_total;
       if (candidate.expiry > Now() && candidate.connection->IsIdleAndClean()) {
         taken = std::move(candidate.connection);
@@ -82,8 +86,8 @@
 UpstreamPool::~UpstreamPool() = default;
 
 boost::asio::awaitable<core::Result<std::unique_ptr<UpstreamConnection>>> UpstreamPool::Acquire(
-    std::string address, core::Duration connect_timeout) {
-  auto idle = this->state->TakeIdle(address);
+    std::string address, core::Duration connect_timeout, std::span<const std::uint64_t> excluded) {
+  auto idle = this->state->TakeIdle(address, excluded);
   if (idle) co_return std::move(idle);
   co_return co_await UpstreamConnection::Open(std::move(address), connect_timeout);
 }
--- a/libraries/http/upstream_pool.h
+++ b/libraries/http/upstream_pool.h
@@ -4,7 +4,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -32,9 +34,11 @@
   UpstreamPool& operator=(const UpstreamPool&) = delete;
 
   /// Returns an idle connection on which the upstream has neither sent data nor closed since its
-  /// release, or a new one. Errors are those of `UpstreamConnection::Open`.
+  /// release, or a new one. Connections with an id in `excluded` are not reused. Errors are those
+  /// of `UpstreamConnection::Open`.
   boost::asio::awaitable<core::Result<std::unique_ptr<UpstreamConnection>>> Acquire(
-      std::string address, core::Duration connect_timeout);
+      std::string address, core::Duration connect_timeout,
+      std::span<const std::uint64_t> excluded = {});
   /// Keeps the connection if it is reusable and the pool is not full, otherwise closes it.
   /// `idle_timeout` can only shorten `UpstreamPoolOptions::idle_timeout`; it is used for an
   /// upstream that announced its own keep-alive time.
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -20,6 +20,7 @@
 #include "services/pomelospar_edge/event_splitter.h"
 #include "services/pomelospar_edge/held_bytes.h"
 #include "services/pomelospar_edge/reservation.h"
+#include "services/pomelospar_edge/response_match.h"
 #include "services/pomelospar_edge/router_state.h"
 
 namespace pomelospar::edge {
@@ -112,6 +113,7 @@
   boost::asio::awaitable<AttemptEnd> Exchange(http::UpstreamConnection& connection);
   boost::asio::awaitable<core::Result<http::ResponseHead>> ReadMatchingHead(
       http::UpstreamConnection& connection);
+  PendingSend DescribeSend(const http::UpstreamConnection& connection) const;
   /// Records what the runner says about itself in the response to this request.
   void RecordNotices(const adapter::ResponseFacts& response, unsigned status);
   boost::asio::awaitable<AttemptEnd> HandleResponse(http::UpstreamConnection& connection,
@@ -195,6 +197,9 @@
 
   /// Identifiers of the runners that were tried; they are not chosen again for this request.
   std::vector<std::string> tried;
+  /// Connections that were acquired for this request. None is used for a second attempt: the runner
+  /// may repeat its response to the first one there, with the same attempt identifier.
+  std::vector<std::uint64_t> used_connections;
   /// Attempts in which at least one byte was sent.
   unsigned sends = 0;
   /// Attempts in which no byte was sent.
--- a/services/pomelospar_edge/response_match.cc
+++ b/services/pomelospar_edge/response_match.cc
@@ -2,11 +2,15 @@
 
 namespace pomelospar::edge {
 
-bool MayAnswer(const adapter::ResponseFacts& facts, unsigned status, std::string_view attempt_id,
-               bool is_reused_connection) {
+bool IsFromOtherRunner(const adapter::ResponseFacts& facts, unsigned status,
+                       const PendingSend& send) {
   constexpr unsigned kMisdirectedRequest = 421;
-  if (facts.attempt_id) return *facts.attempt_id == attempt_id;
-  return !facts.not_executed || !is_reused_connection || status == kMisdirectedRequest;
+  return status == kMisdirectedRequest && facts.runner_id && *facts.runner_id != send.runner_id;
+}
+
+bool MayAnswer(const adapter::ResponseFacts& facts, unsigned status, const PendingSend& send) {
+  if (facts.attempt_id) return *facts.attempt_id == send.attempt_id;
+  return !send.is_reused_connection || IsFromOtherRunner(facts, status, send);
 }
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -15,7 +15,6 @@
 
 #include "libraries/core/milliseconds.h"
 #include "services/pomelospar_edge/request_session.h"
-#include "services/pomelospar_edge/response_match.h"
 
 namespace pomelospar::edge {
 namespace {
@@ -155,8 +154,8 @@
 asio::awaitable<AttemptEnd> RequestSession::Attempt() {
   auto& runner = this->reservation->runner();
   this->tried.push_back(runner.record.id);
-  auto acquired = co_await this->pool.Acquire(runner.record.address,
-                                              std::min(kConnectTimeout, this->TimeLeft()));
+  auto acquired = co_await this->pool.Acquire(
+      runner.record.address, std::min(kConnectTimeout, this->TimeLeft()), this->used_connections);
   if (!acquired) {
     this->failure = acquired.error().message;
     runner.health.OnUnreachable(this->state.clock.now());
@@ -168,6 +167,7 @@
     co_return AttemptEnd::kNotSent;
   }
   auto connection = std::move(acquired.value());
+  this->used_connections.push_back(connection->id());
   // Opening the connection took time, so the conditions for sending are checked again. If the event
   // loop is late, the caller may have closed its connection long before this is reported.
   if (this->CallerMayBeGone() && this->exchange.PeerHasClosed()) this->caller_gone = true;
@@ -236,6 +236,12 @@
   co_return co_await this->HandleResponse(connection, std::move(head.value()));
 }
 
+PendingSend RequestSession::DescribeSend(const http::UpstreamConnection& connection) const {
+  return {.attempt_id = this->facts.attempt_id,
+          .runner_id = this->reservation->runner().record.id,
+          .is_reused_connection = connection.is_reused()};
+}
+
 // Reads the head of the response to this request. Skips late responses to earlier requests, which a
 // faulty runner sends on reused connections.
 asio::awaitable<core::Result<http::ResponseHead>> RequestSession::ReadMatchingHead(
@@ -244,9 +250,7 @@
     BOOST_OUTCOME_CO_TRY(auto head, co_await connection.ReadHead(this->TimeLeft()));
     const auto facts = adapter::DecodeResponse(head);
     if (facts.leaving) MarkLeaving(this->state, this->reservation->runner(), "response");
-    if (MayAnswer(facts, head.status, this->facts.attempt_id, connection.is_reused())) {
-      co_return head;
-    }
+    if (MayAnswer(facts, head.status, this->DescribeSend(connection))) co_return head;
     this->state.log.Write(LogLevel::kWarning, "stray_response",
                           {{"request", this->facts.attempt_id},
                            {"runner", this->tried.back()},
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -270,17 +270,22 @@
 
 // Guards against a refusal of an earlier request that a faulty runner repeats on a kept connection:
 // the caller would be told that its request did not run.
-TEST(ResponseMatchTest, BelievesRefusalsOfThisRequestOnly) {
-  const adapter::ResponseFacts own = {.attempt_id = "a", .not_executed = true};
-  const adapter::ResponseFacts other = {.attempt_id = "b", .not_executed = true};
-  const adapter::ResponseFacts unnamed = {.not_executed = true};
+TEST(ResponseMatchTest, BelievesResponsesToThisRequestOnly) {
+  const adapter::ResponseFacts own = {.attempt_id = "a"};
+  const adapter::ResponseFacts other = {.attempt_id = "b"};
+  const adapter::ResponseFacts unnamed = {};
+  const adapter::ResponseFacts by_expected = {.runner_id = "r"};
+  const adapter::ResponseFacts by_other = {.runner_id = "s"};
   for (const bool is_reused : {false, true}) {
-    EXPECT_TRUE(MayAnswer(own, 503, "a", is_reused));
-    EXPECT_FALSE(MayAnswer(other, 503, "a", is_reused));
-    EXPECT_TRUE(MayAnswer(unnamed, 421, "a", is_reused));
+    const PendingSend send = {"a", "r", is_reused};
+    for (const unsigned status : {200U, 421U, 429U, 500U, 503U}) {
+      EXPECT_TRUE(MayAnswer(own, status, send)) << status;
+      EXPECT_FALSE(MayAnswer(other, status, send)) << status;
+      EXPECT_EQ(MayAnswer(unnamed, status, send), !is_reused) << status;
+      EXPECT_EQ(MayAnswer(by_expected, status, send), !is_reused) << status;
+      EXPECT_EQ(MayAnswer(by_other, status, send), !is_reused || status == 421) << status;
+    }
   }
-  EXPECT_TRUE(MayAnswer(unnamed, 503, "a", false));
-  EXPECT_FALSE(MayAnswer(unnamed, 503, "a", true));
 }
 
 // Guards against a share level far below what the engines serve. They serve more than the
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -186,6 +186,10 @@
         self.leaving = False
         # Retry-After, as text, of the 503 with which the runner turns requests away, or None.
         self.rest = None
+        # "named" or "unnamed", with or without X-Attempt-Id: each 421 is sent a second time, directly before
+        # the next response on its connection.
+        self.repeats_421 = None
+        self.late_copies = {}
         self.crashing_part = None
         self.execution_seconds = 0.0
         self.break_after = 3
@@ -267,8 +271,12 @@
         if self.fault == "full":
             writer.write(response(503, b"", [("X-Attempt-Id", identifier), ("X-Not-Executed", "1")]))
             return True
+        writer.write(self.late_copies.pop(writer, b""))
         if self.fault == "other_instance" or headers.get("x-expect-instance") != self.identifier:
-            writer.write(response(421, b"", [("X-Instance-Id", "i-unknown")]))
+            refusal = self.misdirected(identifier)
+            if self.repeats_421:
+                self.late_copies[writer] = refusal
+            writer.write(refusal)
             return True
         if self.fault in SLOW_RESPONSES:
             return await self.send_slow_response(known, writer)
@@ -319,6 +327,12 @@
             writer.write(response(200, b"late answer to " + identifier.encode(), known))
         return True
 
+    def misdirected(self, identifier):
+        if self.repeats_421 is None:
+            return response(421, b"", [("X-Instance-Id", "i-unknown")])
+        named = [("X-Attempt-Id", identifier)] if self.repeats_421 == "named" else []
+        return response(421, b"", named + [("X-Instance-Id", self.identifier)])
+
     async def send_slow_response(self, known, writer):
         lines = "".join(f"{n}: {v}\r\n" for n, v in known)
         writer.write(SLOW_RESPONSES[self.fault].replace("{known}", lines).encode())
