Dispatch, Edge, Adapter: Evacuate failure domains; grant starts at cold runners

Cause: nothing in the code knew the operator's rows evacuate/DOMAIN, nor runners that tolerate few requests for some seconds after their start.

Evacuations are read with the configuration, covered by its proof and carried in the reports; the store's version decides which is newer. A cold runner gets what its coordinator grants; without a reply nothing is sent. Deployments without these names are served as before: no row, no cold-per-s, no grants.

--- a/libraries/dispatch/engine_coordination.h
+++ b/libraries/dispatch/engine_coordination.h
@@ -26,6 +26,8 @@
   /// Largest load of the engine, without the request, for which the router has chosen it.
   double max_prefill_tokens = 0.0;
   double max_active = 0.0;
+  /// The engine is cold; see `ColdStarts`.
+  bool is_cold_start = false;
 };
 
 struct PlacementReply {
--- /dev/null
+++ b/libraries/dispatch/evacuations.cc
@@ -0,0 +1,38 @@
+#include "libraries/dispatch/evacuations.h"
+
+#include "libraries/core/identifiers.h"
+
+namespace pomelospar::dispatch {
+
+bool IsValidDomainName(std::string_view domain) {
+  return !domain.empty() && domain.size() <= kMaxDomainNameBytes;
+}
+
+Evacuations AfterRows(const Evacuations& known, std::span<const EvacuationRow> rows, bool whole,
+                      std::uint64_t version) {
+  Evacuations result;
+  result.version = version;
+  if (!whole) result.domains = known.domains;
+  for (const auto& row : rows) {
+    if (row.removed) {
+      result.domains.erase(row.domain);
+    } else if (IsValidDomainName(row.domain) && result.domains.size() < kMaxEvacuatedDomains) {
+      result.domains.insert(row.domain);
+    }
+  }
+  return result;
+}
+
+bool IsNewer(const Evacuations& other, const Evacuations& known) {
+  return other.version > known.version;
+}
+
+std::uint64_t HashOf(const Evacuations& evacuations) {
+  std::uint64_t hash = 0;
+  for (const auto& domain : evacuations.domains) {
+    hash = core::CombineHashes(hash, core::HashName(domain));
+  }
+  return hash;
+}
+
+}  // namespace pomelospar::dispatch
--- /dev/null
+++ b/libraries/dispatch/evacuations.h
@@ -0,0 +1,48 @@
+#ifndef POMELOSPAR_LIBRARIES_DISPATCH_EVACUATIONS_H_
+#define POMELOSPAR_LIBRARIES_DISPATCH_EVACUATIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace pomelospar::dispatch {
+
+/// Failure domains whose runners get no requests because the operator has evacuated them.
+struct Evacuations {
+  /// Version of the store at which these domains were evacuated; 0 before the first read. A higher
+  /// version is newer, whoever read it.
+  std::uint64_t version = 0;
+  std::set<std::string, std::less<>> domains;
+};
+
+/// Limits what a faulty writer of the operator's table can make a router keep and report.
+inline constexpr std::size_t kMaxEvacuatedDomains = 64;
+inline constexpr std::size_t kMaxDomainNameBytes = 200;
+
+/// A row of the operator's table that requests or withdraws an evacuation.
+struct EvacuationRow {
+  std::string domain;
+  bool removed = false;
+};
+
+/// Returns true if a domain of this name can be evacuated.
+bool IsValidDomainName(std::string_view domain);
+
+/// Returns `known` after the rows read at `version`. `whole` is true if the rows are the whole
+/// table; otherwise they are changes since an earlier read. Invalid names and domains beyond
+/// `kMaxEvacuatedDomains` are left out.
+Evacuations AfterRows(const Evacuations& known, std::span<const EvacuationRow> rows, bool whole,
+                      std::uint64_t version);
+
+/// Returns true if `other` was read later than `known`.
+bool IsNewer(const Evacuations& other, const Evacuations& known);
+
+/// Returns a hash of the domains; 0 if there are none.
+std::uint64_t HashOf(const Evacuations& evacuations);
+
+}  // namespace pomelospar::dispatch
+
+#endif  // POMELOSPAR_LIBRARIES_DISPATCH_EVACUATIONS_H_
--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -12,6 +12,7 @@
 #include "libraries/dispatch/crash_suspects.h"
 #include "libraries/dispatch/engine_coordination.h"
 #include "libraries/dispatch/engine_model.h"
+#include "libraries/dispatch/evacuations.h"
 #include "libraries/dispatch/prompt.h"
 #include "libraries/dispatch/runner_directory.h"
 #include "libraries/dispatch/table_proof.h"
@@ -42,6 +43,12 @@
   std::int64_t started_unix_ms = 0;
 };
 
+/// A runner that the sender believes to have just started.
+struct ColdRunner {
+  RunnerRun run;
+  core::Duration left{};
+};
+
 /// Report of one router about its own work, sent to the other routers. Keys of the maps are hashes
 /// of names.
 struct PeerReport {
@@ -60,6 +67,9 @@
   SuspectNews suspects;
   /// Runners that said in a response that they leave.
   std::vector<RunnerRun> leaving_runners;
+  std::vector<ColdRunner> cold_runners;
+  /// Absent until the sender has read the operator's table.
+  std::optional<Evacuations> evacuations;
   /// Versions of the configuration and of the runner directory that the sender holds.
   std::optional<TableProof> policy;
   std::optional<TableProof> directory;
--- a/libraries/dispatch/policy.h
+++ b/libraries/dispatch/policy.h
@@ -66,6 +66,10 @@
   std::size_t maximum_connections = 0;
   /// Absent for plain services.
   std::optional<EngineLimits> engine;
+  /// Time for which a started runner is cold.
+  core::Duration cold_start{};
+  /// Requests per second that a cold runner tolerates; 0 if runners are never cold.
+  double cold_starts_per_second = 0.0;
 };
 
 struct CallerLimits {
--- a/libraries/dispatch/runner.h
+++ b/libraries/dispatch/runner.h
@@ -21,6 +21,9 @@
   /// Unix time of the start of the runner in milliseconds, or 0 if unknown. A new value means that
   /// the runner lost all its state.
   std::int64_t started_unix_ms = 0;
+  /// Time for which the runner was still cold when it wrote the entry, in milliseconds; see
+  /// `ColdState`.
+  std::uint64_t cold_left_ms = 0;
 
   bool operator==(const RunnerRecord&) const = default;
 };
--- a/services/pomelospar_edge/engine_coordinator.cc
+++ b/services/pomelospar_edge/engine_coordinator.cc
@@ -26,6 +26,12 @@
                                    {{"outcome", outcome}});
 }
 
+metrics::Counter FindColdStartCounter(RouterState& state, std::string_view outcome) {
+  return state.metrics.FindCounter("pomelospar_cold_starts_total",
+                                   "Starts at cold runners that this router asked for.",
+                                   {{"outcome", outcome}});
+}
+
 }  // namespace
 
 EngineCoordinator::EngineCoordinator(RouterState& router_state, PeerExchange& peer_exchange)
@@ -34,7 +40,15 @@
       report_timer(router_state.io),
       accepted(FindProposalCounter(router_state, "accepted")),
       rejected(FindProposalCounter(router_state, "rejected")),
-      unanswered(FindProposalCounter(router_state, "unanswered")) {
+      unanswered(FindProposalCounter(router_state, "unanswered")),
+      started_at(router_state.clock.now()),
+      cold_granted(FindColdStartCounter(router_state, "granted")),
+      cold_withheld(FindColdStartCounter(router_state, "withheld")),
+      cold_unanswered(FindColdStartCounter(router_state, "unanswered")) {
+  this->state.confirm_cold_start = [this](std::shared_ptr<Runner> runner,
+                                          dispatch::PlacementProposal proposal) {
+    return this->ConfirmColdStart(std::move(runner), proposal);
+  };
   this->state.confirm_placement = [this](std::shared_ptr<Runner> runner,
                                          dispatch::PlacementProposal proposal) {
     return this->Confirm(std::move(runner), proposal);
@@ -53,22 +67,19 @@
       dispatch::ChooseCoordinator(runner.key, live_routers).value_or(std::string_view()));
 }
 
-boost::asio::awaitable<bool> EngineCoordinator::Confirm(std::shared_ptr<Runner> runner,
-                                                        dispatch::PlacementProposal proposal) {
-  if (!this->state.is_large_fleet) co_return true;
-  const auto coordinator = this->CoordinatorOf(*runner);
-  if (coordinator.empty() || coordinator == this->state.settings.ip) co_return true;
+boost::asio::awaitable<std::optional<dispatch::PlacementReply>> EngineCoordinator::Ask(
+    const std::string& coordinator, const Runner& runner, dispatch::PlacementProposal proposal) {
   const auto unresponsive = this->unresponsive_until.find(coordinator);
   if (unresponsive != this->unresponsive_until.end()) {
-    if (this->state.clock.now() < unresponsive->second) co_return true;
+    if (this->state.clock.now() < unresponsive->second) co_return std::nullopt;
     this->unresponsive_until.erase(unresponsive);
   }
   proposal.id = ++this->last_proposal;
-  proposal.engine = runner->key;
+  proposal.engine = runner.key;
   dispatch::PeerReport report;
-  report.runners[runner->key] = runner->own;
+  report.runners[runner.key] = runner.own;
   report.proposal = proposal;
-  if (!this->peers.SendPartial(coordinator, std::move(report))) co_return true;
+  if (!this->peers.SendPartial(coordinator, std::move(report))) co_return std::nullopt;
   const auto waiting = std::make_shared<PendingProposal>(this->state.io);
   this->pending.emplace(proposal.id, waiting);
   waiting->timer.expires_after(kReplyTimeout);
@@ -79,17 +90,62 @@
     co_await boost::asio::post(this->state.io, boost::asio::use_awaitable);
   }
   this->pending.erase(proposal.id);
-  const auto now = this->state.clock.now();
   if (!waiting->reply) {
-    this->unanswered.Add();
-    this->unresponsive_until[coordinator] = now + kUnresponsiveTime;
+    this->unresponsive_until[coordinator] = this->state.clock.now() + kUnresponsiveTime;
     this->state.log.Write(LogLevel::kInfo, "coordinator_silent",
-                          {{"coordinator", coordinator}, {"runner", runner->record.id}});
+                          {{"coordinator", coordinator}, {"runner", runner.record.id}});
+  }
+  co_return waiting->reply;
+}
+
+boost::asio::awaitable<bool> EngineCoordinator::Confirm(std::shared_ptr<Runner> runner,
+                                                        dispatch::PlacementProposal proposal) {
+  if (!this->state.is_large_fleet) co_return true;
+  const auto coordinator = this->CoordinatorOf(*runner);
+  if (coordinator.empty() || coordinator == this->state.settings.ip) co_return true;
+  const auto reply = co_await this->Ask(coordinator, *runner, proposal);
+  if (!reply) {
+    this->unanswered.Add();
     co_return true;
   }
-  runner->load_of_others = {waiting->reply->others, now};
-  (waiting->reply->is_accepted ? this->accepted : this->rejected).Add();
-  co_return waiting->reply->is_accepted;
+  runner->load_of_others = {reply->others, this->state.clock.now()};
+  (reply->is_accepted ? this->accepted : this->rejected).Add();
+  co_return reply->is_accepted;
+}
+
+boost::asio::awaitable<bool> EngineCoordinator::ConfirmColdStart(
+    std::shared_ptr<Runner> runner, dispatch::PlacementProposal proposal) {
+  const auto coordinator = this->CoordinatorOf(*runner);
+  bool is_granted = false;
+  if (coordinator == this->state.settings.ip) {
+    is_granted = this->TryGrantColdStart(*runner);
+  } else if (!coordinator.empty()) {
+    proposal.is_cold_start = true;
+    const auto reply = co_await this->Ask(coordinator, *runner, proposal);
+    if (!reply) {
+      this->cold_unanswered.Add();
+      co_return false;
+    }
+    runner->load_of_others = {reply->others, this->state.clock.now()};
+    is_granted = reply->is_accepted;
+  }
+  (is_granted ? this->cold_granted : this->cold_withheld).Add();
+  co_return is_granted;
+}
+
+bool EngineCoordinator::TryGrantColdStart(const Runner& runner) {
+  const auto now = this->state.clock.now();
+  if (!this->state.policy || this->CoordinatorOf(runner) != this->state.settings.ip) return false;
+  if (!dispatch::MayGrantColdStarts(this->peers.LiveInDomain(), this->peers.ListedInDomain(),
+                                    now - this->started_at)) {
+    return false;
+  }
+  const auto upstream = this->state.policy->upstreams.find(runner.record.upstream);
+  if (upstream == this->state.policy->upstreams.end()) return false;
+  const auto& settings = this->state.settings;
+  const auto rate = dispatch::ColdStartRate(upstream->second.cold_starts_per_second,
+                                            settings.cold_overshoot, settings.cold_slack);
+  return this->cold_starts[runner.key].TryGrant(now, rate);
 }
 
 void EngineCoordinator::OnPartialReport(dispatch::PeerReport report) {
@@ -113,6 +169,10 @@
   load += report.runners[proposal.engine];
   load -= {.prefill_tokens = proposal.prefill_tokens, .active = 1.0};
   reply.is_accepted = dispatch::IsAcceptable(proposal, load);
+  if (proposal.is_cold_start && reply.is_accepted) {
+    reply.is_accepted =
+        runner != this->state.runners_by_key.end() && this->TryGrantColdStart(*runner->second);
+  }
   const auto sender = report.sender;
   if (reply.is_accepted) this->state.peers.Apply(std::move(report), this->state.clock.now());
   dispatch::PeerReport answer;
--- a/services/pomelospar_edge/engine_coordinator.h
+++ b/services/pomelospar_edge/engine_coordinator.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "libraries/dispatch/cold_runners.h"
 #include "libraries/dispatch/engine_coordination.h"
 #include "services/pomelospar_edge/peer_exchange.h"
 #include "services/pomelospar_edge/router_state.h"
@@ -18,12 +19,13 @@
 namespace pomelospar::edge {
 
 /// Proposes placements to the coordinators of engines, and is the coordinator of some of them (see
-/// libraries/dispatch/engine_coordination.h). Only large fleets use it. It is a hint like the
-/// reports: a request whose proposal is not answered is sent all the same.
+/// libraries/dispatch/engine_coordination.h). Only large fleets use it for warm engines. It is a
+/// hint there like the reports: a request whose proposal is not answered is sent all the same. At
+/// cold runners it is binding in each fleet: without a grant nothing is sent.
 class EngineCoordinator {
  public:
-  /// Sets `RouterState::confirm_placement` and `RouterState::on_load_subtracted`. `router_state`
-  /// and `peer_exchange` must outlive this object.
+  /// Sets `RouterState::confirm_placement`, `confirm_cold_start` and `on_load_subtracted`.
+  /// `router_state` and `peer_exchange` must outlive this object.
   EngineCoordinator(RouterState& router_state, PeerExchange& peer_exchange);
   EngineCoordinator(const EngineCoordinator&) = delete;
   EngineCoordinator& operator=(const EngineCoordinator&) = delete;
@@ -42,6 +44,14 @@
   /// Returns false if the engine is busier than the proposal assumes; its load is then known.
   boost::asio::awaitable<bool> Confirm(std::shared_ptr<Runner> runner,
                                        dispatch::PlacementProposal proposal);
+  /// Asks the coordinator; returns nothing if it is not known, or silent.
+  boost::asio::awaitable<std::optional<dispatch::PlacementReply>> Ask(
+      const std::string& coordinator, const Runner& runner, dispatch::PlacementProposal proposal);
+  /// Returns true if the runner's coordinator grants the start of a request.
+  boost::asio::awaitable<bool> ConfirmColdStart(std::shared_ptr<Runner> runner,
+                                                dispatch::PlacementProposal proposal);
+  /// Grants a start at a cold runner if this router is its coordinator.
+  bool TryGrantColdStart(const Runner& runner);
   void OnPartialReport(dispatch::PeerReport report);
   void Decide(dispatch::PeerReport report);
   void OnReply(const dispatch::PlacementReply& reply);
@@ -61,6 +71,12 @@
   metrics::Counter accepted;
   metrics::Counter rejected;
   metrics::Counter unanswered;
+  core::TimePoint started_at;
+  /// Starts that this router granted, by the key of the cold runner.
+  std::unordered_map<std::uint64_t, dispatch::ColdStarts> cold_starts;
+  metrics::Counter cold_granted;
+  metrics::Counter cold_withheld;
+  metrics::Counter cold_unanswered;
 };
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -112,6 +112,22 @@
   return this->state.peers.RankOf(settings.ip, this->IsLargeFleet() ? settings.domain : "");
 }
 
+std::size_t PeerExchange::ListedInDomain() const {
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 this->addresses.begin(), this->addresses.end(), [this](const auto& entry) {
+                   return entry.second.listed && entry.second.domain == this->state.settings.domain;
+                 }));
+}
+
+std::size_t PeerExchange::LiveInDomain() const {
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 this->addresses.begin(), this->addresses.end(), [this](const auto& entry) {
+                   return entry.second.listed &&
+                          entry.second.domain == this->state.settings.domain &&
+                          this->state.peers.HasReportFrom(entry.first);
+                 }));
+}
+
 void PeerExchange::SetPeer(const std::string& name, std::string_view address,
                            std::string_view domain) {
   const auto endpoint = http::ParseEndpoint(address);
@@ -183,6 +199,7 @@
   this->RecordReportedPrefixes(report.value());
   this->state.suspects.Apply(this->state.clock.now(), report.value().suspects);
   this->ApplyLeavingRunners(report.value());
+  this->ApplyColdRunners(report.value());
   if (this->on_report) this->on_report(report.value());
   this->state.peers.Apply(std::move(report.value()), this->state.clock.now());
 }
@@ -196,6 +213,15 @@
   }
 }
 
+void PeerExchange::ApplyColdRunners(const dispatch::PeerReport& report) {
+  for (const auto& cold : report.cold_runners) {
+    const auto found = this->state.runners_by_key.find(cold.run.runner);
+    if (found == this->state.runners_by_key.end()) continue;
+    if (found->second->record.started_unix_ms != cold.run.started_unix_ms) continue;
+    TellCold(this->state, *found->second, cold.left, report.sender);
+  }
+}
+
 void PeerExchange::RecordReportedPrefixes(const dispatch::PeerReport& report) {
   if (!this->state.policy) return;
   const auto now = this->state.clock.now();
@@ -262,6 +288,10 @@
     if (runner->notices.leaving) {
       report.leaving_runners.push_back({runner->key, runner->record.started_unix_ms});
     }
+    const auto cold = dispatch::ObservedColdTime(runner->cold, now);
+    if (cold > core::Duration::zero()) {
+      report.cold_runners.push_back({{runner->key, runner->record.started_unix_ms}, cold});
+    }
   }
   for (const auto& [name, window] : this->state.workspaces) {
     const dispatch::WorkspaceUsage usage = UsageAt(window, now);
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -62,6 +62,10 @@
   /// Number of live routers that come before this one by name. In a large fleet only those of this
   /// failure domain count, as the others report at a lower rate.
   std::size_t Rank() const;
+  /// Number of routers of this failure domain that have a row in the store, with this one.
+  std::size_t ListedInDomain() const;
+  /// Number of these routers that have reported lately, with this one.
+  std::size_t LiveInDomain() const;
   bool has_key() const { return this->key.has_value(); }
   bool has_peers() const { return !this->addresses.empty(); }
   /// Sets the secret of the key that authenticates reports. The key before it is still accepted
@@ -85,6 +89,7 @@
   /// Sends a report early if the other routers must know at once what this one has sent to engines.
   void OnUnreportedTokens();
   void ApplyLeavingRunners(const dispatch::PeerReport& report);
+  void ApplyColdRunners(const dispatch::PeerReport& report);
   /// Records the reported prompt prefixes at their runners.
   void RecordReportedPrefixes(const dispatch::PeerReport& report);
   dispatch::PeerReport MakeReport();
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <span>
 #include <vector>
 
 #include "services/pomelospar_edge/peer_report.pb.h"
@@ -53,6 +54,7 @@
   message.set_prefill_tokens(Whole(proposal.prefill_tokens));
   message.set_max_prefill_tokens(Whole(proposal.max_prefill_tokens));
   message.set_max_active(Whole(std::ceil(proposal.max_active)));
+  message.set_cold_start(proposal.is_cold_start);
 }
 
 dispatch::PlacementProposal Decode(const report::PlacementProposal& message) {
@@ -60,7 +62,8 @@
           .engine = message.engine(),
           .prefill_tokens = static_cast<double>(message.prefill_tokens()),
           .max_prefill_tokens = static_cast<double>(message.max_prefill_tokens()),
-          .max_active = static_cast<double>(message.max_active())};
+          .max_active = static_cast<double>(message.max_active()),
+          .is_cold_start = message.cold_start()};
 }
 
 void Encode(const dispatch::PlacementReply& reply, report::PlacementReply& message) {
@@ -99,6 +102,7 @@
   message.set_slots(record.slots);
   message.set_draining(record.draining);
   message.set_started_unix_ms(record.started_unix_ms);
+  message.set_cold_left_ms(record.cold_left_ms);
 }
 
 void Encode(const dispatch::DirectoryChange& change, report::DirectoryChange& message) {
@@ -123,7 +127,8 @@
                                               .domain = record.domain(),
                                               .slots = record.slots(),
                                               .draining = record.draining(),
-                                              .started_unix_ms = record.started_unix_ms()};
+                                              .started_unix_ms = record.started_unix_ms(),
+                                              .cold_left_ms = record.cold_left_ms()};
     }
     change.entries.push_back(std::move(decoded));
   }
@@ -177,6 +182,34 @@
   return news;
 }
 
+void EncodeColdRunners(std::span<const dispatch::ColdRunner> runners, report::Report& message) {
+  for (const auto& cold : runners) {
+    auto* encoded = message.add_cold_runners();
+    encoded->set_runner(cold.run.runner);
+    encoded->set_started_unix_ms(cold.run.started_unix_ms);
+    encoded->set_left_ms(WholeMilliseconds(cold.left));
+  }
+}
+
+std::vector<dispatch::ColdRunner> DecodeColdRunners(const report::Report& message) {
+  std::vector<dispatch::ColdRunner> runners;
+  for (const auto& cold : message.cold_runners()) {
+    runners.push_back({{cold.runner(), cold.started_unix_ms()}, DecodeAge(cold.left_ms())});
+  }
+  return runners;
+}
+
+void Encode(const dispatch::Evacuations& evacuations, report::Evacuations& message) {
+  message.set_version(evacuations.version);
+  for (const auto& domain : evacuations.domains) message.add_domains(domain);
+}
+
+dispatch::Evacuations Decode(const report::Evacuations& message) {
+  std::vector<dispatch::EvacuationRow> rows;
+  for (const auto& domain : message.domains()) rows.push_back({domain});
+  return dispatch::AfterRows({}, rows, true, message.version());
+}
+
 dispatch::PeerReport Decode(const report::Report& message) {
   dispatch::PeerReport report;
   report.sender = message.sender();
@@ -201,6 +234,8 @@
   for (const auto& run : message.leaving_runners()) {
     report.leaving_runners.push_back({run.runner(), run.started_unix_ms()});
   }
+  report.cold_runners = DecodeColdRunners(message);
+  if (message.has_evacuations()) report.evacuations = Decode(message.evacuations());
   if (message.has_policy()) report.policy = Decode(message.policy());
   if (message.has_directory()) report.directory = Decode(message.directory());
   if (message.has_store_regained_at_ms()) {
@@ -242,6 +277,8 @@
     encoded->set_runner(run.runner);
     encoded->set_started_unix_ms(run.started_unix_ms);
   }
+  EncodeColdRunners(report.cold_runners, message);
+  if (report.evacuations) Encode(*report.evacuations, *message.mutable_evacuations());
   if (report.policy) Encode(*report.policy, *message.mutable_policy());
   if (report.directory) Encode(*report.directory, *message.mutable_directory());
   if (report.store_regained_at) {
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -23,6 +23,13 @@
 // 0.13 to 0.25 s late on average, and an engine under load prefills during a part of that time.
 constexpr double kMeanUnreportedWorkMs = 50.0;
 
+// A request to which so many starts at cold runners were refused uses warm runners only, if there
+// are any: each refused start costs a round trip.
+constexpr unsigned kMaxWithheldColdStarts = 3;
+// Time for which a router does not ask for another start at a runner after one was withheld. Many
+// routers share a few starts per second, so asking more often would hardly help.
+constexpr core::Duration kColdStartPause = std::chrono::milliseconds(250);
+
 }  // namespace
 
 std::vector<Runner*> RequestSession::Candidates() const {
@@ -31,15 +38,23 @@
   if (found == this->state.runners_by_upstream.end()) return candidates;
   const auto now = this->state.clock.now();
   candidates.reserve(found->second.size());
+  std::vector<Runner*> cold;
   for (const auto& runner : found->second) {
-    if (!AcceptsNewRequests(*runner) || !runner->health.IsUsable(now) ||
+    if (!AcceptsNewRequests(this->state, *runner) || !runner->health.IsUsable(now) ||
         !dispatch::MaySend(runner->notices, now, runner->own.active)) {
       continue;
     }
     if (std::find(this->tried.begin(), this->tried.end(), runner->record.id) != this->tried.end()) {
       continue;
     }
-    candidates.push_back(runner.get());
+    if (!IsCold(this->state, *runner)) {
+      candidates.push_back(runner.get());
+    } else if (now >= runner->cold.next_request_at) {
+      cold.push_back(runner.get());
+    }
+  }
+  if (this->withheld_cold_starts < kMaxWithheldColdStarts || candidates.empty()) {
+    candidates.insert(candidates.end(), cold.begin(), cold.end());
   }
   return candidates;
 }
@@ -50,13 +65,20 @@
   const auto now = this->state.clock.now();
   std::optional<core::TimePoint> earliest;
   for (const auto& runner : found->second) {
-    if (!AcceptsNewRequests(*runner)) continue;
+    if (!AcceptsNewRequests(this->state, *runner)) continue;
     if (!dispatch::IsResting(runner->notices, now)) return core::Duration::zero();
     earliest = std::min(earliest.value_or(core::TimePoint::max()), runner->notices.rest_until);
   }
   return earliest ? *earliest - now : core::Duration::zero();
 }
 
+bool RequestSession::AllRunnersEvacuated() const {
+  const auto found = this->state.runners_by_upstream.find(this->upstream->name);
+  return found != this->state.runners_by_upstream.end() &&
+         std::all_of(found->second.begin(), found->second.end(),
+                     [this](const auto& runner) { return IsEvacuated(this->state, *runner); });
+}
+
 bool RequestSession::TryPlace() {
   return this->upstream->engine ? this->PlaceEngine(*this->upstream->engine) : this->PlaceService();
 }
@@ -184,6 +206,17 @@
   // Under a load that changes this fast no engine stays as it was seen; the router then follows its
   // own view.
   constexpr unsigned kMaxProposals = 6;
+  auto& runner = this->reservation->runner();
+  this->has_cold_start = IsCold(this->state, runner);
+  if (this->has_cold_start) {
+    const auto asked_for = runner.shared_from_this();
+    this->has_cold_start = co_await this->state.confirm_cold_start(asked_for, this->proposal);
+    if (!this->has_cold_start) {
+      ++this->withheld_cold_starts;
+      asked_for->cold.next_request_at = this->state.clock.now() + kColdStartPause;
+    }
+    co_return this->has_cold_start;
+  }
   if (!this->upstream->engine || !this->state.confirm_placement) co_return true;
   if (this->proposals == kMaxProposals) co_return true;
   ++this->proposals;
@@ -224,6 +257,9 @@
   }
   const auto chosen = dispatch::PlaceAtService(options, kQueueFactor);
   if (!chosen) return false;
+  // A coordinator does not know the load limits of plain services.
+  constexpr double kNoLimit = 1e9;
+  this->proposal = {.max_prefill_tokens = kNoLimit, .max_active = kNoLimit};
   this->reservation = std::make_shared<Reservation>(
       this->state, candidates[*chosen]->shared_from_this(), dispatch::EngineLoad{.active = 1.0});
   return true;
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -230,8 +230,9 @@
       this->admission_context.until_within_share > until - this->state.clock.now();
   const auto until_rested = this->TimeUntilRested();
   const bool all_rest = until_rested > until - this->state.clock.now();
+  const bool all_evacuated = this->AllRunnersEvacuated();
   bool is_confirmed = false;
-  while (!is_confirmed && !is_beyond_share && !all_rest) {
+  while (!is_confirmed && !is_beyond_share && !all_rest && !all_evacuated) {
     if (!this->TryPlace() && this->state.clock.now() < until) {
       co_await this->WaitInQueue(until);
     }
@@ -264,6 +265,7 @@
     if (!is_beyond_share) this->engine_rejections = this->CountRejections();
     auto refusal = this->NoCapacityRefusal();
     if (is_beyond_share) refusal.reason = "the workspace is beyond its share";
+    if (all_evacuated) refusal.reason = "all runners are in evacuated failure domains";
     if (all_rest) {
       refusal.reason = "all runners asked for rest";
       refusal.retry_after = std::max(refusal.retry_after, until_rested);
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -93,7 +93,8 @@
   dispatch::EngineRejections CountRejections();
   /// Counts the request in the runner's load.
   void ReserveEngine(Runner& runner, const dispatch::EngineRequest& request, double prefill_tokens);
-  /// Returns false if the coordinator of the engine knows that it is busier than assumed.
+  /// Returns false if the coordinator of the engine knows that it is busier than assumed, or if the
+  /// runner is cold and its coordinator withholds the start.
   boost::asio::awaitable<bool> ConfirmPlacement();
   /// Counts a confirmed placement in the runner's cached prefixes and in the workspace's use.
   void RecordPlacement();
@@ -106,6 +107,8 @@
   double EstimateUnreportedWorkMs(const Runner& runner) const;
   void PreferRendezvousEngine(const std::vector<Runner*>& candidates,
                               std::vector<dispatch::EngineOption>& options) const;
+  /// True if the upstream has runners and the operator has evacuated all of them.
+  bool AllRunnersEvacuated() const;
   Refusal NoCapacityRefusal() const;
 
   // One attempt, in runner_attempt.cc.
@@ -185,6 +188,10 @@
   bool is_work_recorded = false;
   dispatch::PlacementProposal proposal;
   unsigned proposals = 0;
+  /// Starts at cold runners that were asked for and not granted.
+  unsigned withheld_cold_starts = 0;
+  /// True if the latest placement is at a cold runner whose coordinator granted the start.
+  bool has_cold_start = false;
   double predicted_ms = 0.0;
   double queue_ms = 0.0;
   double cached_tokens = 0.0;
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -6,9 +6,47 @@
 #include <utility>
 
 #include "libraries/core/identifiers.h"
+#include "libraries/core/milliseconds.h"
 
 namespace pomelospar::edge {
 
+namespace {
+
+const dispatch::UpstreamPolicy* FindUpstream(const RouterState& state, const Runner& runner) {
+  if (!state.policy) return nullptr;
+  const auto found = state.policy->upstreams.find(runner.record.upstream);
+  return found == state.policy->upstreams.end() ? nullptr : &found->second;
+}
+
+void LogCold(RouterState& state, const Runner& runner, std::string_view reason) {
+  const auto until = std::max(runner.cold.observed_until, runner.cold.told_until);
+  state.log.Write(core::LogLevel::kInfo, "runner_cold",
+                  {{"runner", runner.record.id},
+                   {"domain", runner.record.domain},
+                   {"reason", reason},
+                   {"left_ms", core::ToMilliseconds(until - state.clock.now())}});
+}
+
+std::uint64_t CountRequestsIn(const RouterState& state, std::string_view domain) {
+  double requests = 0.0;
+  for (const auto& [id, runner] : state.runners) {
+    if (runner->record.domain == domain) requests += runner->own.active;
+  }
+  return static_cast<std::uint64_t>(requests);
+}
+
+void LogEvacuation(RouterState& state, const std::string& domain, std::string_view phase,
+                   std::string_view source) {
+  state.log.Write(core::LogLevel::kWarning, "evacuation",
+                  {{"domain", domain},
+                   {"phase", phase},
+                   {"source", source},
+                   {"store_version", state.evacuations.version},
+                   {"requests", CountRequestsIn(state, domain)}});
+}
+
+}  // namespace
+
 void IndexRunners(RouterState& state) {
   state.runners_by_upstream.clear();
   for (const auto& [id, runner] : state.runners) {
@@ -30,8 +68,55 @@
   return load;
 }
 
-bool AcceptsNewRequests(const Runner& runner) {
-  return !runner.record.draining && !runner.notices.leaving;
+bool IsEvacuated(const RouterState& state, const Runner& runner) {
+  return state.evacuations.domains.contains(runner.record.domain);
+}
+
+bool AcceptsNewRequests(const RouterState& state, const Runner& runner) {
+  return !runner.record.draining && !runner.notices.leaving && !IsEvacuated(state, runner);
+}
+
+bool IsCold(const RouterState& state, const Runner& runner) {
+  const auto* upstream = FindUpstream(state, runner);
+  return upstream != nullptr && upstream->cold_starts_per_second > 0.0 &&
+         dispatch::IsCold(runner.cold, state.clock.now());
+}
+
+void ObserveCold(RouterState& state, Runner& runner, std::string_view reason) {
+  const auto* upstream = FindUpstream(state, runner);
+  if (upstream == nullptr || upstream->cold_starts_per_second <= 0.0) return;
+  const bool was_cold = IsCold(state, runner);
+  dispatch::ObserveCold(runner.cold, state.clock.now(), upstream->cold_start);
+  if (!was_cold) LogCold(state, runner, reason);
+}
+
+void TellCold(RouterState& state, Runner& runner, core::Duration left, std::string_view source) {
+  if (left <= core::Duration::zero()) return;
+  const bool was_cold = IsCold(state, runner);
+  dispatch::TellCold(runner.cold, state.clock.now(), left);
+  if (!was_cold && IsCold(state, runner)) LogCold(state, runner, source);
+}
+
+void AdoptEvacuations(RouterState& state, const dispatch::Evacuations& read,
+                      std::string_view source) {
+  if (!dispatch::IsNewer(read, state.evacuations)) return;
+  const auto before = std::exchange(state.evacuations, read);
+  for (const auto& domain : read.domains) {
+    if (!before.domains.contains(domain)) LogEvacuation(state, domain, "in_force", source);
+  }
+  for (const auto& domain : before.domains) {
+    if (read.domains.contains(domain)) continue;
+    LogEvacuation(state, domain, "ended", source);
+    for (const auto& [id, runner] : state.runners) {
+      if (runner->record.domain != domain) continue;
+      const auto* upstream = FindUpstream(state, *runner);
+      if (upstream != nullptr) TellCold(state, *runner, upstream->cold_start, "evacuation_ended");
+    }
+  }
+  state.metrics
+      .FindGauge("pomelospar_evacuated_domains", "Failure domains that the operator has evacuated.",
+                 {})
+      .Set(static_cast<double>(read.domains.size()));
 }
 
 void MarkLeaving(RouterState& state, Runner& runner, std::string_view source) {
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -17,8 +17,10 @@
 #include "libraries/core/clock.h"
 #include "libraries/core/identifiers.h"
 #include "libraries/dispatch/admission.h"
+#include "libraries/dispatch/cold_runners.h"
 #include "libraries/dispatch/crash_suspects.h"
 #include "libraries/dispatch/engine_model.h"
+#include "libraries/dispatch/evacuations.h"
 #include "libraries/dispatch/peer_view.h"
 #include "libraries/dispatch/planned_stop.h"
 #include "libraries/dispatch/policy.h"
@@ -58,6 +60,7 @@
   LoadOfOthers load_of_others;
   dispatch::RunnerHealth health;
   dispatch::RunnerNotices notices;
+  dispatch::ColdState cold;
   /// Prompt prefixes that the runner's engine probably has in its cache.
   dispatch::PrefixRecord prefixes;
   /// Set while the runner's entry is missing after an outage of the store: the runner is removed at
@@ -105,6 +108,8 @@
 
   /// The configuration in force; null until the first one has been read.
   std::shared_ptr<const dispatch::Policy> policy;
+  /// Failure domains that the operator has evacuated, as far as this router or another one knows.
+  dispatch::Evacuations evacuations;
   /// Latest time since boot at which `policy` was known to be the newest configuration.
   core::Duration policy_confirmed_at{};
 
@@ -128,6 +133,10 @@
   /// must be placed again. Set by EngineCoordinator.
   std::function<boost::asio::awaitable<bool>(std::shared_ptr<Runner>, dispatch::PlacementProposal)>
       confirm_placement;
+  /// Returns true if the coordinator of the cold runner grants the start of a request there. Set by
+  /// EngineCoordinator.
+  std::function<boost::asio::awaitable<bool>(std::shared_ptr<Runner>, dispatch::PlacementProposal)>
+      confirm_cold_start;
   /// Prompt prefixes sent to engines since the last report to the routers of this failure domain.
   std::vector<dispatch::SentPrefix> recent_prefixes;
   /// True after the directory of runners has been read once.
@@ -184,8 +193,28 @@
 void RecordPrefix(Runner& runner, const dispatch::EngineLimits& limits,
                   const dispatch::EngineLoad& load, std::span<const dispatch::PromptPart> parts);
 
-/// Returns true if the runner neither drains nor leaves, so that new requests may be sent to it.
-bool AcceptsNewRequests(const Runner& runner);
+/// Returns true if the operator has evacuated the runner's failure domain.
+bool IsEvacuated(const RouterState& state, const Runner& runner);
+
+/// Returns true if the runner neither drains nor leaves nor is evacuated, so that new requests may
+/// be sent to it.
+bool AcceptsNewRequests(const RouterState& state, const Runner& runner);
+
+/// Returns true if the runner tolerates only a few requests per second, so that each needs a grant
+/// of its coordinator.
+bool IsCold(const RouterState& state, const Runner& runner);
+
+/// Records that the runner has probably just started. Does nothing if the runners of its upstream
+/// are never cold.
+void ObserveCold(RouterState& state, Runner& runner, std::string_view reason);
+
+/// Records that the runner is cold for `left` according to `source`: its entry or another router.
+void TellCold(RouterState& state, Runner& runner, core::Duration left, std::string_view source);
+
+/// Replaces the evacuations if `read` is newer. When an evacuation ends, the runners of its domain
+/// count as cold, because they had no work and may have been restarted.
+void AdoptEvacuations(RouterState& state, const dispatch::Evacuations& read,
+                      std::string_view source);
 
 /// Records that the runner leaves. `source` is "response" or the name of the router that told it.
 void MarkLeaving(RouterState& state, Runner& runner, std::string_view source);
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -79,6 +79,9 @@
                     {{"runner", runner.id}, {"requests", std::uint64_t{interrupted.size()}}});
     co_return;
   }
+  if (const auto known = state.runners.find(runner.id); known != state.runners.end()) {
+    ObserveCold(state, *known->second, "crashed");
+  }
   std::set<std::uint64_t> subjects;
   for (const auto& request : interrupted) {
     subjects.insert(request.subjects.begin(), request.subjects.end());
@@ -159,6 +162,7 @@
   if (!acquired) {
     this->failure = acquired.error().message;
     runner.health.OnUnreachable(this->state.clock.now());
+    ObserveCold(this->state, runner, "unreachable");
     ++this->unsent_attempts;
     this->state.log.Write(LogLevel::kWarning, "runner_unreachable",
                           {{"request", this->facts.attempt_id},
@@ -171,12 +175,14 @@
   // Opening the connection took time, so the conditions for sending are checked again. If the event
   // loop is late, the caller may have closed its connection long before this is reported.
   if (this->CallerMayBeGone() && this->exchange.PeerHasClosed()) this->caller_gone = true;
-  if (this->caller_gone || this->deadline_passed || !AcceptsNewRequests(runner) ||
+  if (this->caller_gone || this->deadline_passed || !AcceptsNewRequests(this->state, runner) ||
+      (!this->has_cold_start && IsCold(this->state, runner)) ||
       dispatch::IsResting(runner.notices, this->state.clock.now()) || !this->KeyIsStillValid() ||
       !this->MaySendDuringStop()) {
     this->failure =
-        "the runner drains or rests, the key was revoked, the caller no longer waits or this "
-        "router stops";
+        "the runner drains, rests, was evacuated or became cold, the key was revoked, the caller "
+        "no "
+        "longer waits or this router stops";
     ++this->unsent_attempts;
     this->pool.Release(std::move(connection));
     co_return AttemptEnd::kNotSent;
--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -63,6 +63,7 @@
 }
 
 void StoreSync::OnReport(const dispatch::PeerReport& report) {
+  if (report.evacuations) AdoptEvacuations(this->router, *report.evacuations, report.sender);
   if (const auto at = this->ApplyProof(this->policy_watch, report.policy, report.sender)) {
     this->router.policy_confirmed_at = std::max(this->router.policy_confirmed_at, *at);
   }
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -112,6 +112,7 @@
   };
   this->peers.fill_report = [this](dispatch::PeerReport& report) {
     report.policy = this->policy_watch.proof;
+    if (this->router.evacuations.version > 0) report.evacuations = this->router.evacuations;
     report.directory = this->runner_watch.proof;
     report.store_regained_at = this->runner_watch.regained_stamp;
     if (this->is_store_poller.value_or(false)) {
@@ -219,7 +220,31 @@
   return this->router.policy && this->router.runners_loaded && this->Rank() > 0;
 }
 
+void StoreSync::ApplyEvacuations(const adapter::StoreRows& rows, bool whole) {
+  std::vector<dispatch::EvacuationRow> evacuations;
+  for (const auto& row : rows.rows) {
+    if (!row.key.starts_with(adapter::kEvacuationPrefix)) continue;
+    auto domain = row.key.substr(adapter::kEvacuationPrefix.size());
+    if (!dispatch::IsValidDomainName(domain)) {
+      this->router.log.Write(LogLevel::kWarning, "evacuation_malformed", {{"key", row.key}});
+      continue;
+    }
+    evacuations.push_back({std::move(domain), row.removed});
+  }
+  const auto known = this->router.evacuations;
+  AdoptEvacuations(this->router, dispatch::AfterRows(known, evacuations, whole, rows.version),
+                   "store");
+}
+
+// Without evacuations it is the version of the configuration.
+std::uint64_t StoreSync::PolicyState() const {
+  const auto evacuations = dispatch::HashOf(this->router.evacuations);
+  const auto version = this->router.policy->version;
+  return evacuations == 0 ? version : core::CombineHashes(version, evacuations);
+}
+
 void StoreSync::ApplyPolicy(const adapter::StoreRows& rows, bool whole, core::Duration asked_at) {
+  this->ApplyEvacuations(rows, whole);
   bool found = false;
   for (const auto& row : rows.rows) {
     if (row.key != adapter::kConfigurationKey || row.removed) continue;
@@ -242,7 +267,7 @@
   // Without a known configuration, or if the whole table was read and lacks the row, nothing is
   // confirmed.
   if (!this->router.policy || (!found && whole)) return;
-  this->SetProof(this->policy_watch, this->router.policy->version, asked_at);
+  this->SetProof(this->policy_watch, this->PolicyState(), asked_at);
   this->router.policy_confirmed_at = std::max(this->router.policy_confirmed_at, asked_at);
 }
 
@@ -305,12 +330,14 @@
     runner->prefixes.Clear();
     runner->health = {};
     runner->notices = {};
+    runner->cold = {};
   }
   if (known && runner->record.address != record.address) {
     this->pool.Forget(runner->record.address);
   }
   runner->notices.misdirected = false;
   runner->record = record;
+  TellCold(this->router, *runner, std::chrono::milliseconds(record.cold_left_ms), source);
   this->router.log.Write(LogLevel::kInfo, "runner",
                          {{"runner", change.id},
                           {"upstream", record.upstream},
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -95,6 +95,10 @@
   boost::asio::awaitable<void> Register();
   boost::asio::awaitable<void> ProposeKey();
 
+  /// Takes over the failure domains that the operator has evacuated.
+  void ApplyEvacuations(const adapter::StoreRows& rows, bool whole);
+  /// State of the operator's table in its proof.
+  std::uint64_t PolicyState() const;
   void ApplyPolicy(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   void ApplyRunners(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   dispatch::RunnerChange DecodeRunnerRow(const adapter::StoreRow& row);
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -181,6 +181,8 @@
         self.identifier = identifier
         self.service = service
         self.born = 1700000000000
+        self.domain = "a"
+        self.cold_left_ms = 0
         self.fault = None
         # True if the runner says in its responses that it leaves.
         self.leaving = False
@@ -229,11 +231,11 @@
             {
                 "service": self.service,
                 "address": f"127.0.0.1:{self.port}",
-                "zone": "a",
+                "zone": self.domain,
                 "version": "v1",
                 "slots": 8,
                 "state": state,
-                "cold-left-ms": 0,
+                "cold-left-ms": self.cold_left_ms,
                 "seq-no": 1,
                 "born": self.born,
             }
@@ -422,8 +424,9 @@
 
         self.call(remove())
 
-    def add_runner(self, identifier, service):
+    def add_runner(self, identifier, service, domain="a"):
         runner = Runner(identifier, service)
+        runner.domain = domain
 
         async def start():
             runner.server = await asyncio.start_server(runner.serve, "127.0.0.1", 0)
@@ -462,7 +465,8 @@
         self.put("servers", identifier, successor.entry())
         return successor
 
-    def configure(self, version, keys, extra_routes=()):
+    def configure(self, version, keys, extra_routes=(), cold=None):
+        """Writes a configuration; `cold` is the time in seconds for which a runner is cold, and its rate."""
         engine = {"slots": 8, "kv-capacity": 100000, "stride": 5}
         common = {"host": "a.example", "goal-ms": 600, "priority": 1, "public": False}
         routes = [
@@ -486,4 +490,7 @@
             "limits": {"tokens-per-s": 100000, "idle-timeout-ms": 5000, "header-timeout-ms": 3000},
             "tenants": [{"name": "hule", "api-keys": keys}],
         }
+        if cold:
+            for service in document["services"]:
+                service.update({"cold-start-s": cold[0], "cold-per-s": cold[1]})
         self.put("op", "config", json.dumps(document).encode())
--- /dev/null
+++ b/tests/system/test_evacuation.py
@@ -0,0 +1,145 @@
+"""Evacuated failure domains and cold runners, with the real router against the platform stand-in."""
+
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from platform_router import KEY, Router, check_no_new_work, until  # noqa: E402
+from table_platform import Platform  # noqa: E402
+
+# Limits that the users require, in seconds.
+EVACUATION_LIMIT = 5.0
+COLD_SECONDS = 3.0
+COLD_PER_SECOND = 4
+# What a runner tolerates in one second if the settings name neither an overshoot nor a slack.
+COLD_BOUND = 4
+
+
+def in_parallel(calls):
+    threads = [threading.Thread(target=call) for call in calls]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+class EvacuationTest(unittest.TestCase):
+    """One router with an engine and a plain service in each of two failure domains."""
+
+    def setUp(self):
+        self.platform = Platform()
+        self.platform.configure(3, [KEY], cold=(COLD_SECONDS, COLD_PER_SECOND))
+        self.home = [self.platform.add_runner(f"i-a-{kind}", kind, "a") for kind in ("engines", "desk")]
+        self.away = [self.platform.add_runner(f"i-b-{kind}", kind, "b") for kind in ("engines", "desk")]
+        # Long enough that requests at the same time are worth sending to the other domain.
+        for runner in self.home + self.away:
+            runner.execution_seconds = 0.05
+        self.router = Router(self.platform.store_port)
+        self.addCleanup(self.router.end)
+        self.assertTrue(until(self.router.is_ready, 5))
+        # From then on the router grants starts at cold runners.
+        time.sleep(2)
+        self.count = 0
+
+    def send(self, path="/l/1"):
+        self.count += 1
+        method = "GET" if path == "/l/1" else "POST"
+        prompt = {"X-Prompt-Prefix": f"{self.count:x}:900"}
+        return self.router.send(f"attempt-{self.count}", path, method, headers=prompt)[0]
+
+    def reached(self, runner, path):
+        """Sends requests at the same time and returns whether `runner` got one."""
+        before = len(runner.requests)
+        in_parallel([lambda: self.send(path)] * 8)
+        return len(runner.requests) > before
+
+    def check_evacuated(self):
+        for runner, path in zip(self.away, ("/s/1", "/l/1")):
+            check_no_new_work(self, runner, lambda p=path: self.send(p))
+
+    def most_in_one_second(self, runner, since):
+        times = [r["at"] for r in runner.requests if r["at"] >= since]
+        return max((sum(1 for t in times if start <= t < start + 1) for start in times), default=0)
+
+    # Guards against requests to an evacuated domain, for both kinds of upstreams.
+    def test_evacuates_a_domain_and_takes_it_back(self):
+        for runner, path in zip(self.away, ("/s/1", "/l/1")):
+            self.assertTrue(until(lambda r=runner, p=path: self.reached(r, p), 5))
+        self.platform.put("op", "evacuate/b", b"{}")
+        time.sleep(EVACUATION_LIMIT)
+        self.check_evacuated()
+        self.platform.remove("op", "evacuate/b")
+        for runner, path in zip(self.away, ("/s/1", "/l/1")):
+            self.assertTrue(until(lambda r=runner, p=path: self.reached(r, p), 10))
+
+    # Guards against an evacuation that is forgotten while the store is away, by a restart, or because the
+    # store dropped its history, and against one that is not ended after that.
+    def test_keeps_an_evacuation_over_a_restart_and_an_outage(self):
+        self.platform.put("op", "evacuate/b", b"not a document")
+        time.sleep(EVACUATION_LIMIT)
+        self.platform.store.mode = "reset"
+        self.check_evacuated()
+        self.platform.store.mode = "ok"
+        self.router.process.kill()
+        self.router.process.wait()
+        self.router.start()
+        self.assertTrue(until(self.router.is_ready, 5))
+        self.check_evacuated()
+        self.platform.store.mode = "reset"
+        self.platform.remove("op", "evacuate/b")
+
+        async def drop_history():
+            self.platform.store.oldest_version = 10**9
+
+        self.platform.call(drop_history())
+        time.sleep(1)
+        self.platform.store.mode = "ok"
+        self.assertTrue(until(lambda: self.reached(self.away[1], "/l/1"), 10))
+
+    # Guards against requests that wait until their deadline although no runner may serve them, and against
+    # a router that one odd row ends.
+    def test_refuses_at_once_if_all_domains_are_evacuated(self):
+        self.platform.put("op", "evacuate/", b"{}")
+        self.platform.put("op", "evacuate/" + "x" * 300, b"{}")
+        self.platform.put("op", "evacuate/nowhere", b"{}")
+        for domain in ("a", "b"):
+            self.platform.put("op", f"evacuate/{domain}", b"{}")
+        self.assertTrue(until(lambda: self.send() == 503, EVACUATION_LIMIT))
+        runs = sum(len(runner.requests) for runner in self.home + self.away)
+        self.assertEqual([self.send("/b/1"), self.send("/s/1")], [503, 503])
+        self.assertEqual(runs, sum(len(runner.requests) for runner in self.home + self.away))
+        for domain in ("a", "b"):
+            self.platform.remove("op", f"evacuate/{domain}")
+        self.assertTrue(until(lambda: self.send() == 200, 10))
+
+    # Guards against a crowd at a runner that has just started, and at one of a domain that is taken back:
+    # both look idle.
+    def test_a_cold_runner_gets_few_requests_per_second(self):
+        self.platform.put("op", "evacuate/b", b"{}")
+        time.sleep(EVACUATION_LIMIT)
+        started = self.platform.add_runner("i-new", "desk", "a")
+        started.cold_left_ms = int(COLD_SECONDS * 1000)
+        self.platform.put("servers", "i-new", started.entry())
+        # The entry was written without the time first.
+        time.sleep(1)
+        since = time.monotonic()
+        self.platform.remove("op", "evacuate/b")
+        end = since + COLD_SECONDS - 1
+        statuses = []
+
+        def call(number):
+            while time.monotonic() < end:
+                attempt = f"cold-{number}-{len(statuses)}"
+                statuses.append(self.router.send(attempt, "/l/1", "GET")[0])
+
+        in_parallel([lambda n=number: call(n) for number in range(8)])
+        self.assertIn(200, statuses)
+        for runner in (started, self.away[1]):
+            self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND, runner.identifier)
+
+
+if __name__ == "__main__":
+    unittest.main()
