Http, Edge: Bound the memory and connections that callers' requests hold at each listener

Bodies and input buffers now count in one account for each listener. If it is exceeded, the largest unfinished request gets 503 (not run); requests above 128 KiB use at most three quarters of it, so that they leave room for small ones. Buffers are freed with the request. A body is sent from the request itself. The internal listeners drop bodies. A new connection takes the place of an idle one, first of those that never completed a request.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -62,13 +63,24 @@
     const auto executor = socket.get_executor();
     auto stream = this->tls ? std::make_unique<ByteStream>(std::move(socket), *this->tls)
                             : std::make_unique<ByteStream>(std::move(socket));
-    const auto open = this->server->connections.size();
     const auto limit = this->server->limits.maximum_connections;
+    // A crowd that connects and sends nothing must not keep others out.
+    if (this->server->connections.size() >= limit && CloseIdlest(*this->server)) {
+      this->StartConnection(std::move(stream), executor, remote_address, false);
+      return;
+    }
+    const auto open = this->server->connections.size();
     // A 503 response over TLS requires a handshake, and the limit is there to bound that cost.
-    if (open >= limit + kMaxConcurrentRefusals || (open >= limit && this->tls)) return;
+    const auto refusals = std::min(kMaxConcurrentRefusals, limit / 4 + 1);
+    if (open >= limit + refusals || (open >= limit && this->tls)) return;
+    this->StartConnection(std::move(stream), executor, remote_address, open >= limit);
+  }
+
+  void StartConnection(std::unique_ptr<ByteStream> stream, const asio::any_io_executor& executor,
+                       const std::string& remote_address, bool is_refused) {
     const auto connection = std::make_shared<ServerConnection>(this->server, std::move(stream),
                                                                executor, remote_address);
-    asio::co_spawn(executor, open >= limit ? connection->Refuse() : connection->Run(),
+    asio::co_spawn(executor, is_refused ? connection->Refuse() : connection->Run(),
                    // The completion handler keeps the connection alive while its coroutine runs.
                    [connection](const std::exception_ptr&) {});
   }
@@ -145,6 +157,7 @@
   state->address = FormatEndpoint(state->acceptor.local_endpoint(error));
   state->server->limits = options.limits;
   state->server->handler = std::move(handler);
+  state->server->drop_bodies = options.drop_bodies;
   state->options = std::move(options);
   asio::co_spawn(io, State::AcceptLoop(state), asio::detached);
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
@@ -166,6 +179,16 @@
 
 std::size_t HttpServer::active_exchanges() const { return this->state->server->active_exchanges; }
 
+std::uint64_t HttpServer::held_bytes() const { return this->state->server->held_bytes; }
+
+std::uint64_t HttpServer::refused_for_memory() const {
+  return this->state->server->refused_for_memory;
+}
+
+std::uint64_t HttpServer::replaced_connections() const {
+  return this->state->server->replaced_connections;
+}
+
 std::size_t HttpServer::connections() const { return this->state->server->connections.size(); }
 
 core::Result<void> HttpServer::ReloadCertificate() {
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -38,6 +39,12 @@
   /// Number of requests that the handler is serving.
   std::size_t active_exchanges() const;
   std::size_t connections() const;
+  /// Memory that the connections hold for requests, in bytes.
+  std::uint64_t held_bytes() const;
+  /// Requests refused since the start because the memory for requests was used up.
+  std::uint64_t refused_for_memory() const;
+  /// Connections closed since the start because others needed their place.
+  std::uint64_t replaced_connections() const;
   /// Reloads the certificate and key files for connections accepted from now on. On an error the
   /// previous certificate and key stay in use.
   core::Result<void> ReloadCertificate();
--- a/libraries/http/message_text.cc
+++ b/libraries/http/message_text.cc
@@ -84,8 +84,8 @@
 
 bool StatusAllowsBody(unsigned status) { return status >= 200 && status != 204 && status != 304; }
 
-core::Result<void> AppendRequest(const HttpRequest& request, std::string_view host,
-                                 std::string& output) {
+core::Result<void> AppendRequestHead(const HttpRequest& request, std::size_t body_bytes,
+                                     std::string_view host, std::string& output) {
   if (!IsToken(request.method) || !IsTarget(request.target)) {
     return core::MakeError(
         core::ErrorKind::kInvalidArgument,
@@ -101,9 +101,8 @@
   }
   // GET and HEAD requests without a body need no Content-Length.
   const bool bodiless = request.method == "GET" || request.method == "HEAD";
-  if (!request.body.empty() || !bodiless) message.content_length(request.body.size());
+  if (body_bytes > 0 || !bodiless) message.content_length(body_bytes);
   AppendHead(message, output);
-  output += request.body;
   return core::Success();
 }
 
--- a/libraries/http/message_text.h
+++ b/libraries/http/message_text.h
@@ -1,6 +1,7 @@
 #ifndef POMELOSPAR_LIBRARIES_HTTP_MESSAGE_TEXT_H_
 #define POMELOSPAR_LIBRARIES_HTTP_MESSAGE_TEXT_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,11 +11,12 @@
 
 namespace pomelospar::http {
 
-/// Appends a serialized request with its body. Adds `Host` unless it is given, and the framing
-/// headers; framing headers in `request.headers` are ignored. Errors: `kInvalidArgument` for a
-/// header, method or target with characters that would allow message splitting.
-core::Result<void> AppendRequest(const HttpRequest& request, std::string_view host,
-                                 std::string& output);
+/// Appends a request without its body, which has `body_bytes`. Adds `Host` unless it is given, and
+/// the framing headers; framing headers in `request.headers` are ignored. Errors:
+/// `kInvalidArgument` for a header, method or target with characters that would allow message
+/// splitting.
+core::Result<void> AppendRequestHead(const HttpRequest& request, std::size_t body_bytes,
+                                     std::string_view host, std::string& output);
 
 /// Appends a response head. Framing headers in `head.headers` are ignored.
 core::Result<void> AppendResponseHead(const ResponseHead& head, bool keep_alive,
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -14,6 +14,7 @@
 #include <tuple>
 #include <utility>
 
+#include "libraries/http/buffer.h"
 #include "libraries/http/message_text.h"
 
 namespace pomelospar::http {
@@ -28,6 +29,9 @@
 /// fills the block, the next one is larger. A prompt of common size is read with one system call.
 constexpr std::size_t kSmallestReadBlock = 14U << 10U;
 constexpr std::size_t kLargestReadBlock = 64U << 10U;
+/// Buffers of up to this many bytes do not count as memory of a request; the limit of connections
+/// bounds them.
+constexpr std::size_t kUncountedBufferBytes = 2 * kSmallestReadBlock;
 /// While a request is served, reading pauses once this many bytes of further requests are buffered.
 constexpr std::size_t kReadAheadLimit = 16U << 10U;
 /// Output buffers with a larger capacity, in bytes, are released after the write.
@@ -103,19 +107,66 @@
       remote_address(std::move(remote)),
       deadline(io_executor, [this] { this->OnDeadline(); }),
       input_event(io_executor, core::TimePoint::max()),
-      read_block(kSmallestReadBlock) {
+      read_block(kSmallestReadBlock),
+      last_request_at(std::chrono::steady_clock::now()) {
   this->server->connections.insert(this);
 }
 
 ServerConnection::~ServerConnection() {
-  this->ReserveBodyBytes(0);
+  this->HoldBytes(0);
   this->server->connections.erase(this);
 }
 
-bool ServerConnection::ReserveBodyBytes(std::uint64_t bytes) {
-  this->server->body_bytes += bytes - this->reserved_body_bytes;
-  this->reserved_body_bytes = bytes;
-  return this->server->body_bytes <= this->server->limits.total_body_bytes;
+bool ServerConnection::HoldBytes(std::uint64_t bytes) {
+  this->server->held_bytes += bytes - this->held_bytes;
+  this->held_bytes = bytes;
+  const auto total = this->server->limits.total_request_bytes;
+  return this->server->held_bytes <= (bytes > kSmallRequestBytes ? total - total / 4 : total);
+}
+
+bool ServerConnection::HoldRequest(std::uint64_t body_bytes) {
+  const auto buffers = this->input.capacity() + this->read_block.capacity();
+  const auto bytes = body_bytes + (buffers > kUncountedBufferBytes ? buffers : 0);
+  while (!this->HoldBytes(bytes)) {
+    ServerConnection* largest = this;
+    for (auto* connection : this->server->connections) {
+      if (connection->unfinished_bytes() > largest->held_bytes) largest = connection;
+    }
+    ++this->server->refused_for_memory;
+    if (largest == this) return false;
+    largest->EvictRequest();
+  }
+  return true;
+}
+
+void ServerConnection::EvictRequest() {
+  this->evicted = true;
+  this->HoldBytes(0);
+  this->input_event.cancel();
+}
+
+std::optional<IdleRank> ServerConnection::idle_rank() const {
+  if (this->serving || this->writing || !this->stream->is_open()) return std::nullopt;
+  return IdleRank{this->served_a_request, this->last_request_at};
+}
+
+std::uint64_t ServerConnection::unfinished_bytes() const {
+  return this->reading_request && !this->evicted ? this->held_bytes : 0;
+}
+
+bool CloseIdlest(ServerState& server) {
+  ServerConnection* idlest = nullptr;
+  std::optional<IdleRank> lowest;
+  for (auto* connection : server.connections) {
+    const auto rank = connection->idle_rank();
+    if (!rank || (lowest && *lowest <= *rank)) continue;
+    lowest = rank;
+    idlest = connection;
+  }
+  if (idlest == nullptr) return false;
+  ++server.replaced_connections;
+  idlest->Close();
+  return true;
 }
 
 void ServerConnection::OnDeadline() {
@@ -147,7 +198,9 @@
   }
   while (this->stream->is_open()) {
     if (!co_await this->WaitForFirstByte()) break;
+    this->reading_request = true;
     const auto outcome = co_await this->ReadRequest();
+    this->reading_request = false;
     if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
       co_await this->SendRefusal(*refusal);
       break;
@@ -188,6 +241,7 @@
   const auto size = this->input.size();
   while (this->input.size() == size) {
     if (this->input_closed || this->deadline.expired() || !this->stream->is_open()) co_return false;
+    if (this->reading_request && this->evicted) co_return false;
     this->StartReading();
     co_await this->input_event.async_wait(kTuple);
   }
@@ -210,7 +264,8 @@
     }
     this->input.append(this->read_block.data(), count);
     this->input_event.cancel();
-    if (count == this->read_block.size() && count < kLargestReadBlock) {
+    // What arrives while a request is served waits, so a larger block would not help.
+    if (!this->serving && count == this->read_block.size() && count < kLargestReadBlock) {
       this->read_block.resize(count * 4 > kLargestReadBlock ? kLargestReadBlock : count * 4);
     }
   } while (this->serving && this->input.size() < kReadAheadLimit);
@@ -235,7 +290,8 @@
     if (error && error != beast::http::error::need_more) {
       co_return Refusal{StatusOf(error), error.message()};
     }
-    if (!this->ReserveBodyBytes(parser.get().body().size())) {
+    if (this->server->drop_bodies) ReleaseBuffer(parser.get().body());
+    if (this->evicted || !this->HoldRequest(parser.get().body().size())) {
       co_return Refusal{503, "too many request bodies are in progress; retry later"};
     }
     if (parser.is_header_done() && !headers_checked) {
@@ -253,21 +309,28 @@
     if (this->input.size() > limits.header_bytes + kLargestReadBlock) {
       co_return Refusal{431, "a chunk header or trailer is too long"};
     }
-    if (co_await this->WaitForMoreInput()) continue;
+    if (co_await this->WaitForMoreInput() || this->evicted) continue;
     if (this->deadline.expired()) co_return Refusal{408, "the request arrived too slowly"};
     co_return ConnectionEnd{};
   }
   this->deadline.Clear();
   this->keep_alive = parser.keep_alive();
   this->current_request = TakeRequest(parser, this->remote_address);
-  if (!this->reading) {
-    this->read_block.resize(kSmallestReadBlock);
-    this->read_block.shrink_to_fit();
-  }
-  if (this->input.empty()) this->input = std::string();
+  this->ShrinkInput();
   co_return RequestRead{};
 }
 
+void ServerConnection::ShrinkInput() {
+  if (!this->reading && this->read_block.size() > kSmallestReadBlock) {
+    this->read_block = std::vector<char>(kSmallestReadBlock);
+  }
+  if (this->input.empty()) {
+    ReleaseBuffer(this->input);
+  } else {
+    this->input.shrink_to_fit();
+  }
+}
+
 asio::awaitable<void> ServerConnection::Serve() {
   this->phase = Phase::kNotStarted;
   this->body_expected = this->current_request.method != "HEAD";
@@ -285,7 +348,10 @@
   --this->server->active_exchanges;
   this->disconnect_handler = nullptr;
   this->current_request = HttpRequest();
-  this->ReserveBodyBytes(0);
+  // The assignment above keeps the memory of the body.
+  ReleaseBuffer(this->current_request.body);
+  this->last_request_at = std::chrono::steady_clock::now();
+  this->HoldBytes(0);
 }
 
 asio::awaitable<void> ServerConnection::CallHandler(ServerExchange& exchange) {
@@ -297,7 +363,8 @@
 }
 
 asio::awaitable<void> ServerConnection::SendRefusal(Refusal refusal) {
-  this->ReserveBodyBytes(0);
+  this->HoldBytes(0);
+  this->ShrinkInput();
   this->phase = Phase::kNotStarted;
   this->keep_alive = false;
   this->body_expected = true;
@@ -316,7 +383,7 @@
   this->deadline.ExpireAfter(kDrainTimeout);
   // g++ 12 miscompiles co_await in the condition of a do-while loop.
   while (true) {
-    this->input.clear();
+    ReleaseBuffer(this->input);
     const bool more = co_await this->WaitForMoreInput();
     if (!more) break;
   }
@@ -339,7 +406,7 @@
   const auto [error, count] = co_await this->stream->WriteAll(asio::buffer(this->output));
   this->deadline.Clear();
   this->writing = false;
-  if (this->output.capacity() > kMaxRetainedOutputBytes) this->output = std::string();
+  if (this->output.capacity() > kMaxRetainedOutputBytes) ReleaseBuffer(this->output);
   this->output.clear();
   if (!error) co_return core::Success();
   this->phase = Phase::kFailed;
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -2,6 +2,7 @@
 #define POMELOSPAR_LIBRARIES_HTTP_SERVER_CONNECTION_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -27,10 +28,27 @@
   bool stopping = false;
   bool close_after_responses = false;
   std::size_t active_exchanges = 0;
-  std::uint64_t body_bytes = 0;
+  bool drop_bodies = false;
+  /// Memory that the connections hold for requests; see `ServerLimits::total_request_bytes`.
+  std::uint64_t held_bytes = 0;
   std::unordered_set<ServerConnection*> connections;
+  /// Numbers of connections that were closed for others, and of requests refused for memory.
+  std::uint64_t replaced_connections = 0;
+  std::uint64_t refused_for_memory = 0;
 };
 
+/// Order in which connections without a request in progress are closed for new ones: first those
+/// that have never completed a request, which a crowd of slow senders opens, then the ones that
+/// have been idle for the longest time.
+struct IdleRank {
+  bool served_a_request = false;
+  core::TimePoint since{};
+  auto operator<=>(const IdleRank&) const = default;
+};
+
+/// Closes the connection with the lowest rank. Returns false if all have a request in progress.
+bool CloseIdlest(ServerState& server);
+
 /// A caller's connection. Reads requests one after the other and calls the handler for each.
 /// Internal to the library.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -49,6 +67,12 @@
   /// served a request yet is given a short grace period first.
   void StopWhenIdle();
   void Close();
+  /// Ends the unfinished request of a connection whose memory others need, with a 503 response.
+  void EvictRequest();
+  /// Nothing while a request is served or a response is written.
+  std::optional<IdleRank> idle_rank() const;
+  /// Memory that an unfinished request holds; 0 if none is being read.
+  std::uint64_t unfinished_bytes() const;
 
   const HttpRequest& request() const { return this->current_request; }
   bool started() const { return this->phase != Phase::kNotStarted; }
@@ -86,9 +110,14 @@
   boost::asio::awaitable<core::Result<void>> Flush();
   core::Result<void> AppendHead(const ResponseHead& head);
   core::Result<void> CountBody(std::size_t bytes);
-  /// Sets how many bytes of `ServerState::body_bytes` belong to this connection. Returns false if
-  /// the total then exceeds `ServerLimits::total_body_bytes`.
-  bool ReserveBodyBytes(std::uint64_t bytes);
+  /// Sets how many bytes of `ServerState::held_bytes` belong to this connection. Returns false if
+  /// the total then exceeds the limit for a request of this size.
+  bool HoldBytes(std::uint64_t bytes);
+  /// Counts what a request with such a body holds. If the limit is exceeded, the largest unfinished
+  /// requests are evicted; returns false if this is one of them.
+  bool HoldRequest(std::uint64_t body_bytes);
+  /// Frees the memory of large input buffers.
+  void ShrinkInput();
   void NotifyDisconnect();
   void OnDeadline();
 
@@ -108,7 +137,10 @@
   bool waiting_for_request = false;
 
   HttpRequest current_request;
-  std::uint64_t reserved_body_bytes = 0;
+  std::uint64_t held_bytes = 0;
+  bool reading_request = false;
+  bool evicted = false;
+  core::TimePoint last_request_at;
   bool serving = false;
   bool writing = false;
   bool keep_alive = false;
--- a/libraries/http/server_options.h
+++ b/libraries/http/server_options.h
@@ -26,13 +26,20 @@
   core::Duration keep_alive_timeout = std::chrono::seconds(75);
   /// How long the caller may take to accept one piece of a response.
   core::Duration write_timeout = std::chrono::seconds(60);
+  /// Above it, a new connection takes the place of the one that has been without a request in
+  /// progress for the longest time; if all have one, it is refused.
   std::size_t maximum_connections = 20000;
-  /// Maximum size of the request bodies of all connections together, in bytes. A body counts from
-  /// its first byte until its request has been served. Without this limit, many bodies below
-  /// `body_bytes` could together exhaust the memory of a small instance.
-  std::uint64_t total_body_bytes = 256ULL << 20U;
+  /// Maximum memory that all connections together hold for requests, in bytes: the bodies, from
+  /// their first byte until the request has been served, and the input buffers. Without this limit,
+  /// many requests within the other limits could together exhaust the memory of a small instance.
+  /// Above it, the connection with the largest unfinished request is refused. Requests of more than
+  /// `kSmallRequestBytes` get three quarters of it, so that they leave room for small ones.
+  std::uint64_t total_request_bytes = 256ULL << 20U;
 };
 
+/// A request that holds at most this much memory counts as small.
+inline constexpr std::uint64_t kSmallRequestBytes = 128U << 10U;
+
 struct ServerOptions {
   /// "ip:port"; port 0 lets the system choose.
   std::string address = "127.0.0.1:0";
@@ -44,6 +51,8 @@
   /// returns false, new connections wait in the listen queue of the system. If null, connections
   /// are always accepted.
   std::function<bool(core::Duration)> may_accept;
+  /// The handler does not need the bodies: they are read and dropped.
+  bool drop_bodies = false;
 };
 
 }  // namespace pomelospar::http
--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -12,9 +12,11 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "libraries/http/buffer.h"
 #include "libraries/http/byte_stream.h"
 #include "libraries/http/deadline.h"
 #include "libraries/http/message_text.h"
@@ -36,6 +38,8 @@
 /// Maximum number of buffered bytes of an incomplete header, chunk header or trailer.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kLargestReadBlock;
 constexpr unsigned kMaxInterimResponses = 8;
+/// A body of up to this many bytes is copied behind the head and written with it in one call.
+constexpr std::size_t kMaxJoinedBodyBytes = 16U << 10U;
 
 core::Error Malformed(std::string_view address, std::string_view what) {
   return core::MakeError(core::ErrorKind::kMalformed,
@@ -189,6 +193,12 @@
 
 asio::awaitable<core::Result<void>> UpstreamConnection::Send(const HttpRequest& request,
                                                              core::Duration timeout) {
+  return this->Send(request, request.body, timeout);
+}
+
+asio::awaitable<core::Result<void>> UpstreamConnection::Send(const HttpRequest& request,
+                                                             std::string_view body,
+                                                             core::Duration timeout) {
   auto& self = *this->state;
   self.any_byte_sent = false;
   // Bytes that arrived before the request was sent would be read as the response to it.
@@ -201,16 +211,22 @@
   }
   ++self.requests;
   self.output.clear();
-  BOOST_OUTCOME_CO_TRY(AppendRequest(request, self.address, self.output));
+  BOOST_OUTCOME_CO_TRY(AppendRequestHead(request, body.size(), self.address, self.output));
+  const bool is_joined = body.size() <= kMaxJoinedBodyBytes;
+  if (is_joined) self.output += body;
   self.head_request = request.method == "HEAD";
   self.response_read = false;
   self.ResetParser();
   self.any_byte_sent = true;
   self.deadline.ExpireAfter(timeout);
-  const auto [error, count] = co_await self.stream.WriteAll(asio::buffer(self.output));
-  self.deadline.Clear();
-  self.output = std::string();
+  auto [error, count] = co_await self.stream.WriteAll(asio::buffer(self.output));
+  ReleaseBuffer(self.output);
   self.any_byte_sent = count > 0;
+  if (!error && !is_joined) {
+    const auto result = co_await self.stream.WriteAll(asio::buffer(body));
+    error = std::get<0>(result);
+  }
+  self.deadline.Clear();
   if (error) co_return self.StreamError("while the request was sent");
   co_return core::Success();
 }
@@ -260,6 +276,11 @@
   }
   self.deadline.Clear();
   self.response_read = true;
+  // An idle connection keeps small buffers only.
+  if (self.input.empty()) ReleaseBuffer(self.input);
+  if (self.read_block.size() > kSmallestReadBlock) {
+    self.read_block = std::vector<char>(kSmallestReadBlock);
+  }
   co_return std::optional<std::string>();
 }
 
--- a/libraries/http/upstream_connection.h
+++ b/libraries/http/upstream_connection.h
@@ -36,6 +36,10 @@
   /// connection or sent bytes that no request asked for. The timeout covers the whole request.
   boost::asio::awaitable<core::Result<void>> Send(const HttpRequest& request,
                                                   core::Duration timeout);
+  /// Sends the request with `body` in place of its own, so that a long body need not be copied. The
+  /// body must stay valid until the call returns.
+  boost::asio::awaitable<core::Result<void>> Send(const HttpRequest& request, std::string_view body,
+                                                  core::Duration timeout);
   /// True if any byte of the current request may have been sent. Also true while `Send` is writing.
   bool any_byte_sent() const;
   /// True if an earlier request was sent on this connection.
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -46,8 +46,13 @@
 constexpr double kCallerDescriptorShare = 0.45;
 // Descriptors that are kept for other uses than callers and runners.
 constexpr std::size_t kReservedDescriptors = 200;
-// The memory is divided by this to get the limit for all request bodies in progress.
-constexpr std::size_t kBodyMemoryDivisor = 4;
+// The memory is divided by this to get the limit for all requests of callers in progress.
+constexpr std::size_t kRequestMemoryDivisor = 4;
+// The same for the readiness and for the metrics listener. Their requests have no bodies that are
+// kept, so this covers their buffers.
+constexpr std::size_t kInternalRequestMemoryDivisor = 32;
+// Connections to the readiness and to the metrics listener. The platform uses one or two of each.
+constexpr std::size_t kMaxInternalConnections = 64;
 // The memory is divided by this to get the limit for all incomplete response parts. Each is a few
 // hundred bytes unless a runner is faulty.
 constexpr std::size_t kHeldMemoryDivisor = 8;
@@ -104,14 +109,13 @@
           {.address = settings.caller_address,
            .may_accept = [this](core::Duration paused) { return this->MayAccept(paused); }},
           [this](http::ServerExchange& exchange) { return this->Serve(exchange); }));
-  this->ApplyCallerLimits();
-  BOOST_OUTCOME_TRY(this->readiness_server,
-                    http::HttpServer::Create(this->io, {.address = settings.readiness_address},
-                                             [this](http::ServerExchange& exchange) {
-                                               return this->AnswerReadiness(exchange);
-                                             }));
+  BOOST_OUTCOME_TRY(
+      this->readiness_server,
+      http::HttpServer::Create(
+          this->io, {.address = settings.readiness_address, .drop_bodies = true},
+          [this](http::ServerExchange& exchange) { return this->AnswerReadiness(exchange); }));
   auto metrics = http::HttpServer::Create(
-      this->io, {.address = fmt::format("{}:{}", settings.ip, kMetricsPort)},
+      this->io, {.address = fmt::format("{}:{}", settings.ip, kMetricsPort), .drop_bodies = true},
       [this](http::ServerExchange& exchange) { return this->AnswerMetrics(exchange); });
   if (metrics) {
     this->metrics_server = std::move(metrics.value());
@@ -119,6 +123,7 @@
     this->log.Write(LogLevel::kWarning, "metrics_unavailable",
                     {{"error", metrics.error().message}});
   }
+  this->ApplyCallerLimits();
   return core::Success();
 }
 
@@ -137,9 +142,15 @@
                            : settings.descriptors;
   limits.maximum_connections =
       static_cast<std::size_t>(static_cast<double>(sockets) * kCallerDescriptorShare);
-  limits.total_body_bytes = settings.memory_bytes / kBodyMemoryDivisor;
+  limits.total_request_bytes = settings.memory_bytes / kRequestMemoryDivisor;
   this->state.held_bytes.limit = settings.memory_bytes / kHeldMemoryDivisor;
   if (this->caller_server) this->caller_server->SetLimits(limits);
+  limits.total_request_bytes = settings.memory_bytes / kInternalRequestMemoryDivisor;
+  limits.maximum_connections =
+      std::min(kMaxInternalConnections, std::max<std::size_t>(sockets / 16, 1));
+  for (auto* server : {this->readiness_server.get(), this->metrics_server.get()}) {
+    if (server != nullptr) server->SetLimits(limits);
+  }
 }
 
 void Edge::Run() {
@@ -228,7 +239,19 @@
                    {"dropped_suspicions", this->state.suspects.dropped()},
                    {"share_level", this->state.share_level},
                    {"share_capacity", this->state.share_capacity},
+                   {"request_bytes", this->caller_server->held_bytes()},
+                   {"refused_for_memory", this->caller_server->refused_for_memory()},
+                   {"replaced_connections", this->caller_server->replaced_connections()},
                    {"policy_age_ms", age}});
+  const auto set = [this](std::string_view name, std::string_view help, std::uint64_t value) {
+    this->state.metrics.FindGauge(name, help, {}).Set(static_cast<double>(value));
+  };
+  set("pomelospar_request_memory_bytes", "Memory that callers' requests hold.",
+      this->caller_server->held_bytes());
+  set("pomelospar_requests_refused_for_memory", "Requests refused for memory since the start.",
+      this->caller_server->refused_for_memory());
+  set("pomelospar_connections_replaced", "Connections closed for new ones since the start.",
+      this->caller_server->replaced_connections());
   this->LogShares();
 }
 
--- a/services/pomelospar_edge/event_splitter.cc
+++ b/services/pomelospar_edge/event_splitter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "libraries/http/buffer.h"
 #include "libraries/http/event_stream.h"
 
 namespace pomelospar::edge {
@@ -60,7 +61,7 @@
 }
 
 void EventSplitter::DropRest() {
-  this->buffer = std::string();
+  http::ReleaseBuffer(this->buffer);
   this->returned = 0;
 }
 
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -218,7 +218,8 @@
   this->splitter.DropRest();
   const auto request = adapter::EncodeForward(this->exchange.request(), options);
   this->sent_at = this->state.clock.now();
-  const auto sent = co_await connection.Send(request, this->TimeLeft());
+  const auto sent =
+      co_await connection.Send(request, this->exchange.request().body, this->TimeLeft());
   if (!sent && !connection.any_byte_sent()) {
     this->failure = sent.error().message;
     ++this->unsent_attempts;
