Adapter: Test that no engine header of a caller is forwarded

Cause: X-Pin-Ms and X-Kv-Backup were dropped, but no test covered them, nor other cases of letters and repeated headers. Change: a test for X-Hold, X-Pin-Ms, X-Kv-Backup, Kv-From and Kv-Fetch.

--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -245,6 +245,23 @@
   EXPECT_EQ(Header(forward, "Kv-Fetch"), "10.0.0.9:8080");
 }
 
+// Guards against a caller that holds memory at an engine or names the address from which an engine
+// takes its state. Such headers must be dropped in any case of letters and if they are repeated.
+TEST(EncodeForwardTest, DropsTheEngineHeadersOfCallers) {
+  constexpr std::array<std::string_view, 10> kNames = {
+      "X-Hold",      "x-hold",  "X-Pin-Ms", "x-pin-ms", "X-Kv-Backup",
+      "X-KV-BACKUP", "Kv-From", "KV-FROM",  "Kv-Fetch", "kv-fetch"};
+  auto request = CallerRequest();
+  for (const auto name : kNames) {
+    request.headers.push_back({std::string(name), "192.0.2.1:1"});
+    request.headers.push_back({std::string(name), "192.0.2.2:1"});
+  }
+  const auto forward = EncodeForward(request, {.runner_id = "i-1"});
+  for (const auto name : kNames) EXPECT_EQ(Header(forward, name), std::nullopt) << name;
+  EXPECT_EQ(Header(forward, "X-Token-Usage"), "1460,80");
+  EXPECT_EQ(Header(forward, "X-Prompt-Prefix"), "5c1e07a2:800, 91bd3f06:410");
+}
+
 // Guards against a refusal that counts as not executed although the runner did not say so: the
 // request would be sent again and could be executed twice.
 TEST(DecodeResponseTest, TellsWhatDidNotRun) {
