--- a/tests/libraries/dispatch/cold_runners_test.cc
+++ b/tests/libraries/dispatch/cold_runners_test.cc
@@ -97,8 +97,7 @@
                             now - coordinator->started_at)) {
       return false;
     }
-    return coordinator->starts[runner].TryGrant(now,
-                                                ColdStartRate(kTolerated, kOvershoot, kSlack));
+    return coordinator->starts[runner].TryGrant(now, ColdStartRate(kTolerated, kOvershoot, kSlack));
   }
 
   std::vector<Router> routers;
