--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -159,7 +159,7 @@
   std::optional<IdleRank> lowest;
   for (auto* connection : server.connections) {
     const auto rank = connection->idle_rank();
-    if (!rank || (lowest && *lowest <= *rank)) continue;
+    if (!rank || (lowest && !(*rank < *lowest))) continue;
     lowest = rank;
     idlest = connection;
   }
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -2,12 +2,12 @@
 #define POMELOSPAR_LIBRARIES_HTTP_SERVER_CONNECTION_H_
 
 #include <boost/asio/steady_timer.hpp>
-#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_set>
 #include <variant>
 #include <vector>
@@ -43,7 +43,11 @@
 struct IdleRank {
   bool served_a_request = false;
   core::TimePoint since{};
-  auto operator<=>(const IdleRank&) const = default;
+
+  bool operator<(const IdleRank& other) const {
+    return std::tie(this->served_a_request, this->since) <
+           std::tie(other.served_a_request, other.since);
+  }
 };
 
 /// Closes the connection with the lowest rank. Returns false if all have a request in progress.
