Dispatch, Edge: Keep requests in their failure domain unless leaving pays

With a fixed cost of 2 ms for another domain, 62 % of engine requests left theirs, close to chance.

The optional setting cross-domain-ms-per-mib enables a home-first rule: a request leaves if its domain has no room, if the gain exceeds the round trip plus the price of its body, or if only another domain meets the objective. With the setting, uncached prompts go to the rendezvous engine of the own domain. Without it the lowest cost wins as before. Metrics count requests and bytes by pair of domains; the log tells changes of the regime.

PlaceAtService returns a DomainChoice, so PlaceAtServiceTest compares its option.

Not measured on a deployment.

--- a/libraries/dispatch/placement.cc
+++ b/libraries/dispatch/placement.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace pomelospar::dispatch {
 namespace {
@@ -26,13 +25,12 @@
 constexpr double kRepeatedPrefillWeight = 3.0;
 // Time to prepare a copy between the prefix caches of two engines.
 constexpr double kCacheCopySetupMs = 5.0;
-// Prefers the router's own failure domain among equal candidates; a round trip to another domain
-// takes about a millisecond.
-constexpr double kCrossDomainCostMs = 2.0;
 
 struct ScoredPlacement {
   EnginePlacement placement;
-  double cost = std::numeric_limits<double>::infinity();
+  double cost = 0.0;
+  /// Forecast time to the first event in milliseconds.
+  double forecast_ms = 0.0;
 };
 
 bool HasSlot(const EngineOption& option) {
@@ -77,7 +75,9 @@
                  (kPrefillWeight - 1.0) * prefill - kPrefillWeight * expected_cached_prefill) *
                     option.slowdown +
                 kFailureCostMs * option.failure_rate +
-                (option.other_domain ? kCrossDomainCostMs : 0.0);
+                DomainCostMs(request.leaving, option.other_domain);
+  scored.forecast_ms =
+      (scored.placement.first_event_ms + option.unreported_work_ms) * option.slowdown;
   return scored;
 }
 
@@ -93,20 +93,22 @@
                                              std::span<const EngineOption> options,
                                              const EngineRequest& request) {
   const double most_cached = MostCachedTokens(options);
-  ScoredPlacement best;
-  ScoredPlacement best_failing;
+  DomainCandidates sound;
+  DomainCandidates failing;
   for (std::size_t index = 0; index < options.size(); ++index) {
     const auto& option = options[index];
     if (!HasSlot(option) || !HasMemory(option, request)) continue;
     const auto scored = Score(speed, option, request, index);
     const double limit = RepeatedPrefillQueueLimitMs(speed, option, request, most_cached);
     if (scored.placement.queue_ms > limit) continue;
-    auto& target = option.failure_rate > kMaxFailureRate ? best_failing : best;
-    if (scored.cost < target.cost) target = scored;
+    auto& candidates = option.failure_rate > kMaxFailureRate ? failing : sound;
+    candidates.Add(index, option.other_domain, scored.cost, scored.forecast_ms);
   }
-  const auto& chosen = best.cost < std::numeric_limits<double>::infinity() ? best : best_failing;
-  if (chosen.cost == std::numeric_limits<double>::infinity()) return std::nullopt;
-  return chosen.placement;
+  const auto choice = ChooseDomain(sound.empty() ? failing : sound, request.leaving);
+  if (!choice) return std::nullopt;
+  auto placement = Score(speed, options[choice->option], request, choice->option).placement;
+  placement.domain = *choice;
+  return placement;
 }
 
 std::optional<CacheCopy> PlanCacheCopy(const EngineSpeed& speed,
@@ -145,22 +147,19 @@
   return rejections;
 }
 
-std::optional<std::size_t> PlaceAtService(std::span<const ServiceOption> options,
-                                          double queue_factor) {
-  std::optional<std::size_t> best;
-  double best_cost = std::numeric_limits<double>::infinity();
+std::optional<DomainChoice> PlaceAtService(std::span<const ServiceOption> options,
+                                           double queue_factor, const LeavingTerms& leaving) {
+  DomainCandidates candidates;
   for (std::size_t index = 0; index < options.size(); ++index) {
     const auto& option = options[index];
     if (option.active >= option.slots * queue_factor) continue;
     const double rounds = 1.0 + option.active / std::max(option.slots, 1.0);
-    const double cost = rounds * option.latency_ms + kFailureCostMs * option.failure_rate +
-                        (option.other_domain ? kCrossDomainCostMs : 0.0);
-    if (cost < best_cost) {
-      best_cost = cost;
-      best = index;
-    }
+    const double forecast = rounds * option.latency_ms;
+    const double cost = forecast + kFailureCostMs * option.failure_rate +
+                        DomainCostMs(leaving, option.other_domain);
+    candidates.Add(index, option.other_domain, cost, forecast);
   }
-  return best;
+  return ChooseDomain(candidates, leaving);
 }
 
 }  // namespace pomelospar::dispatch
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 
+#include "libraries/dispatch/domain_choice.h"
 #include "libraries/dispatch/engine_model.h"
 
 namespace pomelospar::dispatch {
@@ -37,6 +38,7 @@
   double output_tokens = 0.0;
   /// Longest accepted wait for earlier prompts, in milliseconds.
   double queue_limit_ms = 0.0;
+  LeavingTerms leaving = {};
 };
 
 struct EnginePlacement {
@@ -45,6 +47,8 @@
   double queue_ms = 0.0;
   /// Predicted time to the first event in milliseconds, not multiplied by the slowdown.
   double first_event_ms = 0.0;
+  /// Whether the request leaves its failure domain, and why that pays.
+  DomainChoice domain = {};
 };
 
 /// Returns the tokens that the engine with the most cached tokens of the prompt has to prefill; at
@@ -61,7 +65,8 @@
 /// the first event, corrected by the slowdown. Prefill time counts several times, because prefill
 /// delays all other requests of that engine, and failures and another failure domain add to the
 /// cost. It suits a load of prompts that arrive faster than the engines prefill them and share
-/// about half of their content with others. Engines whose queue, slots or memory would exceed the
+/// about half of their content with others. `request.leaving` limits which requests go to another
+/// failure domain. Engines whose queue, slots or memory would exceed the
 /// limits are skipped, and engines that fail most requests are used only if no other is left.
 /// Returns nothing if all are skipped.
 std::optional<EnginePlacement> PlaceAtEngine(const EngineSpeed& speed,
@@ -113,9 +118,10 @@
 
 /// Chooses the instance with the lowest predicted response time and failure cost, so that a few
 /// slow or failing instances are avoided. Returns nothing if each instance has at least
-/// `queue_factor` times its slots in use.
-std::optional<std::size_t> PlaceAtService(std::span<const ServiceOption> options,
-                                          double queue_factor);
+/// `queue_factor` times its slots in use. `leaving` limits which requests go to another failure
+/// domain.
+std::optional<DomainChoice> PlaceAtService(std::span<const ServiceOption> options,
+                                           double queue_factor, const LeavingTerms& leaving = {});
 
 }  // namespace pomelospar::dispatch
 
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -15,6 +15,7 @@
 #include "libraries/core/identifiers.h"
 #include "libraries/core/milliseconds.h"
 #include "libraries/core/text_file.h"
+#include "services/pomelospar_edge/domain_traffic.h"
 
 namespace pomelospar::edge {
 namespace {
@@ -196,7 +197,10 @@
     this->was_ready = ready;
     this->log.Write(LogLevel::kInfo, "readiness", {{"ready", ready}});
   }
-  if (this->ticks % kTicksPerLoadLine == 0) this->LogLoad();
+  if (this->ticks % kTicksPerLoadLine == 0) {
+    this->LogLoad();
+    UpdateDomainRegimes(this->state);
+  }
   if (this->ticks % kTicksPerLogWrite == 0) this->log.Flush();
 }
 
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -6,6 +6,7 @@
 
 #include "libraries/core/identifiers.h"
 #include "libraries/core/milliseconds.h"
+#include "services/pomelospar_edge/domain_traffic.h"
 #include "services/pomelospar_edge/request_session.h"
 
 namespace pomelospar::edge {
@@ -126,10 +127,18 @@
         return option.cached_tokens >= shared * kCachedShare;
       });
   if (cached_somewhere) return;
-  const auto common = std::max_element(
-      candidates.begin(), candidates.end(), [&](const Runner* left, const Runner* right) {
-        return core::CombineHashes(key, left->key) < core::CombineHashes(key, right->key);
-      });
+  // By the home-first rule each failure domain keeps its own copy, because all prompts with these
+  // parts would otherwise leave all domains but one.
+  const auto& own_domain = this->state.settings.domain;
+  const bool home_first = this->state.settings.cross_domain_ms_per_mib.has_value();
+  const auto preference = [&](const Runner* runner) {
+    return std::pair(home_first && runner->record.domain == own_domain,
+                     core::CombineHashes(key, runner->key));
+  };
+  const auto common = std::max_element(candidates.begin(), candidates.end(),
+                                       [&](const Runner* left, const Runner* right) {
+                                         return preference(left) < preference(right);
+                                       });
   options[static_cast<std::size_t>(common - candidates.begin())].expected_cached_tokens = shared;
 }
 
@@ -147,7 +156,31 @@
           .output_tokens = dispatch::ExpectedOutputTokens(prompt),
           .queue_limit_ms = dispatch::QueueWaitLimitMs(
               speed, ToMilliseconds(recent_work.LimitingObjective()), prefill_ms,
-              recent_work.TypicalPrefillMs(), this->admission_context)};
+              recent_work.TypicalPrefillMs(), this->admission_context),
+          .leaving = this->DescribeLeaving()};
+}
+
+dispatch::LeavingTerms RequestSession::DescribeLeaving() {
+  const auto& price = this->state.settings.cross_domain_ms_per_mib;
+  if (!price) return {};
+  const auto now = this->state.clock.now();
+  auto& share = this->state.leaving[this->upstream->name].share;
+  dispatch::LeavingTerms terms;
+  terms.price_ms =
+      dispatch::LeavingPriceMs(price, static_cast<double>(this->exchange.request().body.size()));
+  // Engines are compared by their first event, other services by their whole response.
+  if (this->route->streaming || !this->upstream->engine) {
+    terms.objective_ms =
+        std::max(ToMilliseconds(this->route->objective - (now - this->received)), 0.0);
+  }
+  // The same draw at each call, so that waiting longer does not make the request leave by chance.
+  terms.may_leave = this->Draw(core::HashName("leave")) < share.At(now);
+  return terms;
+}
+
+void RequestSession::CountLeaving(const dispatch::DomainChoice& choice) {
+  if (std::exchange(this->is_leaving_counted, true)) return;
+  CountDomainChoice(this->state, this->upstream->name, choice);
 }
 
 core::Duration RequestSession::TimeUntilWithinShare() {
@@ -169,6 +202,7 @@
   const auto& speed = this->state.engine_speed;
   auto placement = dispatch::PlaceAtEngine(speed, options, request);
   if (!placement) return false;
+  this->CountLeaving(placement->domain);
   this->cache_source.clear();
   if (const auto copy =
           dispatch::PlanCacheCopy(speed, options, placement->option, request.prompt_tokens,
@@ -255,13 +289,15 @@
                        .failure_rate = runner->health.failure_rate(now),
                        .other_domain = runner->record.domain != this->state.settings.domain});
   }
-  const auto chosen = dispatch::PlaceAtService(options, kQueueFactor);
+  const auto chosen = dispatch::PlaceAtService(options, kQueueFactor, this->DescribeLeaving());
   if (!chosen) return false;
+  this->CountLeaving(*chosen);
   // A coordinator does not know the load limits of plain services.
   constexpr double kNoLimit = 1e9;
   this->proposal = {.max_prefill_tokens = kNoLimit, .max_active = kNoLimit};
-  this->reservation = std::make_shared<Reservation>(
-      this->state, candidates[*chosen]->shared_from_this(), dispatch::EngineLoad{.active = 1.0});
+  this->reservation =
+      std::make_shared<Reservation>(this->state, candidates[chosen->option]->shared_from_this(),
+                                    dispatch::EngineLoad{.active = 1.0});
   return true;
 }
 
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -99,6 +99,11 @@
   /// Counts a confirmed placement in the runner's cached prefixes and in the workspace's use.
   void RecordPlacement();
   bool PlaceService();
+  /// Returns the conditions for sending the request to another failure domain. Without a price in
+  /// the settings it goes where its cost is lowest.
+  dispatch::LeavingTerms DescribeLeaving();
+  /// Counts the first placement of the request in the share of requests that leave.
+  void CountLeaving(const dispatch::DomainChoice& choice);
   std::vector<Runner*> Candidates() const;
   std::vector<dispatch::EngineOption> DescribeEngines(const dispatch::EngineLimits& limits,
                                                       const std::vector<Runner*>& candidates) const;
@@ -186,6 +191,8 @@
   std::shared_ptr<Reservation> reservation;
   /// True after the prompt has been recorded in the upstream's recent work.
   bool is_work_recorded = false;
+  /// True after the request was counted in the share of requests that leave the failure domain.
+  bool is_leaving_counted = false;
   dispatch::PlacementProposal proposal;
   unsigned proposals = 0;
   /// Starts at cold runners that were asked for and not granted.
@@ -206,6 +213,8 @@
 
   /// Identifiers of the runners that were tried; they are not chosen again for this request.
   std::vector<std::string> tried;
+  /// Bytes of the response body that the latest attempt received.
+  std::size_t received_bytes = 0;
   /// Connections that were acquired for this request. None is used for a second attempt: the runner
   /// may repeat its response to the first one there, with the same attempt identifier.
   std::vector<std::uint64_t> used_connections;
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -19,6 +19,7 @@
 #include "libraries/dispatch/admission.h"
 #include "libraries/dispatch/cold_runners.h"
 #include "libraries/dispatch/crash_suspects.h"
+#include "libraries/dispatch/domain_choice.h"
 #include "libraries/dispatch/engine_model.h"
 #include "libraries/dispatch/evacuations.h"
 #include "libraries/dispatch/peer_view.h"
@@ -89,6 +90,13 @@
   std::vector<std::uint64_t> subjects;
 };
 
+/// Requests of one upstream that leave this router's failure domain.
+struct DomainLeaving {
+  dispatch::LeavingShare share;
+  /// The regime that was logged last.
+  bool some_leave = false;
+};
+
 /// State that the parts of the router share. It is read and written on the I/O thread only.
 struct RouterState {
   RouterState(boost::asio::io_context& io_context, core::Clock runtime_clock,
@@ -159,6 +167,8 @@
   std::unordered_map<std::string, dispatch::RetryAllowance> retries;
   /// Prefill work of the recent prompts of this router's callers, by upstream name.
   std::unordered_map<std::string, dispatch::RecentWork> recent_work;
+  /// By upstream name. Empty unless the settings have a price for leaving the failure domain.
+  std::unordered_map<std::string, DomainLeaving> leaving;
   /// Longest time that a caller was willing to wait, by route name. A caller with clearly less
   /// time is treated as one that retries after a refusal.
   std::unordered_map<std::string, core::Duration> longest_caller_timeout;
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "libraries/core/milliseconds.h"
+#include "services/pomelospar_edge/domain_traffic.h"
 #include "services/pomelospar_edge/request_session.h"
 
 namespace pomelospar::edge {
@@ -195,7 +196,16 @@
   connection->AcceptCloseDelimited();
   this->active_connection = connection.get();
   this->runner_idle_timeout.reset();
+  // The entry may change during the exchange.
+  const auto domain = runner.record.domain;
+  // Read before the exchange, after which the request is no longer valid.
+  const auto sent_bytes = this->exchange.request().body.size();
+  const auto sends_before = this->sends;
+  this->received_bytes = 0;
   const auto end = co_await this->Exchange(*connection);
+  if (this->sends > sends_before) {
+    CountDomainTraffic(this->state, domain, sent_bytes + this->received_bytes);
+  }
   this->active_connection = nullptr;
   if (this->runner_idle_timeout) {
     const auto kept =
@@ -387,6 +397,7 @@
     }
     if (!piece.value()) break;
     response.body += *piece.value();
+    this->received_bytes += piece.value()->size();
     const bool granted = this->held.Resize(response.body.size());
     if (!granted ||
         response.body.size() > this->policy->limits.body_bytes + kExtraResponseBodyBytes) {
@@ -459,6 +470,7 @@
       }
       break;
     }
+    this->received_bytes += piece.value()->size();
     const auto events = this->splitter.Append(*piece.value());
     if (events.empty()) {
       if (!this->ReservePartialEvent()) {
--- a/tests/libraries/dispatch/placement_test.cc
+++ b/tests/libraries/dispatch/placement_test.cc
@@ -214,7 +214,9 @@
       {.active = 1.0, .slots = 6.0, .latency_ms = 150.0},
       {.active = 2.0, .slots = 6.0, .latency_ms = 30.0},
       {.active = 0.0, .slots = 6.0, .latency_ms = 30.0, .failure_rate = 0.4}};
-  EXPECT_EQ(PlaceAtService(options, 2.0), 1U);
+  const auto choice = PlaceAtService(options, 2.0);
+  ASSERT_TRUE(choice.has_value());
+  EXPECT_EQ(choice->option, 1U);
 }
 
 TEST(PlaceAtServiceTest, OffersNothingWhenAllQueuesAreFull) {
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -1,7 +1,9 @@
+#include <fmt/format.h>
 #include <gmock/gmock.h>
 #include <rapidcheck/gtest.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "platform/documents.h"
@@ -343,5 +345,33 @@
   EXPECT_THAT(settings.error().message, testing::HasSubstr("revoke-ms"));
 }
 
+std::string SettingsWithPrice(std::string_view value) {
+  std::string document(kSettings);
+  const std::string_view before = "max-fds = 4100\n";
+  document.insert(document.find(before) + before.size(),
+                  fmt::format("cross-domain-ms-per-mib = {}\n", value));
+  return document;
+}
+
+// Guards against a deployment without the setting that would be placed by the home-first rule.
+TEST(DecodeSettingsTest, ThePriceOfLeavingADomainIsOptional) {
+  EXPECT_FALSE(DecodeSettings(kSettings).value().cross_domain_ms_per_mib.has_value());
+  for (const auto& [text, number] :
+       {std::pair{"0", 0.0}, std::pair{"120", 120.0}, std::pair{"2.5", 2.5}}) {
+    const auto settings = DecodeSettings(SettingsWithPrice(text));
+    ASSERT_TRUE(settings.has_value()) << settings.error().message;
+    EXPECT_EQ(settings.value().cross_domain_ms_per_mib, number);
+  }
+}
+
+// Guards against a mistyped price that is silently read as none, or that pays requests to leave.
+TEST(DecodeSettingsTest, RejectsAWrongPriceOfLeavingADomain) {
+  for (const auto* text : {"-1", "-0.5", "nan", "inf", "-inf", "\"120\"", "true", "[1]", "{a=1}"}) {
+    const auto settings = DecodeSettings(SettingsWithPrice(text));
+    ASSERT_FALSE(settings.has_value()) << text;
+    EXPECT_THAT(settings.error().message, testing::HasSubstr("cross-domain-ms-per-mib")) << text;
+  }
+}
+
 }  // namespace
 }  // namespace pomelospar::adapter
