Edge: Propose the key of the reports until it is stored

What callers saw: a request that crashes runners reached them in 7 retries later than contact-ms after its third crash, where 3 are allowed, and each crash cut sound requests of other callers. The routers of a fleet that had started while the store refused writes for some seconds exchanged no reports until one of them was restarted.

Cause: StoreSync::ProposeKey wrote the key once, after the first read of the whole table. If that write was refused at all routers, none proposed a key again: later reads are feeds of changes, and the result of the write was only logged. Without a key, PeerExchange sends nothing and accepts nothing.

Change: a router whose proposal was refused, or whose proposal has an unknown outcome, repeats it after 1 to 2 s (jittered) until it or another router has written a key or the process stops. All proposals are conditional on the absence of the row, so the first one wins; a conflict ends the proposals of the others, and so does a key that the watch reads. One proposal runs at a time. A router without a key also proposes one if the row is removed. The first proposal is sent as before, so a start without faults has the same store calls.

Evidence: test_platform_fleet_start.py, two routers and a store that refuses writes with 503 for 4 s and serves reads. Before the change two of its five tests failed: the routers had 0 peers 4 s after the store accepted writes again, and 0 proposals were repeated in 4 s. All five pass now.

--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -65,6 +65,10 @@
 // answers again, and reports it. Calls of the others would only add to the load of a failing store.
 constexpr core::Duration kFailurePause = milliseconds(300);
 constexpr core::Duration kFollowerFailurePause = milliseconds(1000);
+// Longest pause after a failed proposal of the key. Once the store accepts writes, routers must
+// exchange reports within 3 s. Each router of the fleet may propose, so that a shorter pause would
+// add to the load of a failing store.
+constexpr core::Duration kKeyProposalPause = milliseconds(2000);
 // Entries that lapsed during an outage of the store come back within about two seconds of its end.
 constexpr core::Duration kRunnerReturnTime = milliseconds(1700);
 
@@ -386,11 +390,13 @@
 }
 
 void StoreSync::ApplyRouters(const adapter::StoreRows& rows, bool whole) {
-  bool key_found = false;
+  if (whole) this->key_is_stored = false;
+  bool key_removed = false;
   for (const auto& row : rows.rows) {
-    if (row.key == kKeyRow && !row.removed) {
-      key_found = true;
-      this->peers.SetKey(row.value);
+    if (row.key == kKeyRow) {
+      this->key_is_stored = !row.removed;
+      key_removed = row.removed;
+      if (!row.removed) this->peers.SetKey(row.value);
       continue;
     }
     if (!row.key.starts_with(kRouterRowPrefix)) continue;
@@ -409,20 +415,36 @@
     this->router_watch.pause =
         std::clamp(this->router_watch.pause * 2, kFirstRouterPause, kLongestRouterPause);
   }
-  if (whole && !key_found) {
+  // Routers that have a key keep using it after its row was removed. The next router that starts
+  // proposes another one.
+  const bool is_needed = whole || (key_removed && !this->peers.has_key());
+  if (is_needed && !this->key_is_stored && !this->is_proposing_key) {
+    this->is_proposing_key = true;
     asio::co_spawn(this->router.io, this->ProposeKey(), asio::detached);
   }
 }
 
 asio::awaitable<void> StoreSync::ProposeKey() {
-  adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
-                                     .key = std::string(kKeyRow),
-                                     .value = RandomKey(),
-                                     .expected_version = 0};
-  const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
-  // If another router's key was written first, the write fails; the watch reads the key in either
-  // case.
-  this->router.log.Write(LogLevel::kInfo, "key_proposed", {{"taken", written.has_value()}});
+  asio::steady_timer timer(this->router.io);
+  const adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
+                                           .key = std::string(kKeyRow),
+                                           .value = RandomKey(),
+                                           .expected_version = 0};
+  while (!this->router.stop && !this->key_is_stored) {
+    const auto written = co_await this->store.Write(write, kStoreCallTimeout);
+    if (written) {
+      this->router.log.Write(LogLevel::kInfo, "key_proposed", {{"taken", true}});
+      break;
+    }
+    this->router.log.Write(LogLevel::kInfo, "key_proposed",
+                           {{"taken", false}, {"error", written.error().message}});
+    // The row holds another router's key, or this one's if the response to an earlier write was
+    // lost. The watch reads it in either case.
+    if (core::Is(written.error(), core::ErrorKind::kConflict)) break;
+    timer.expires_after(this->Jitter(kKeyProposalPause));
+    co_await timer.async_wait(kTuple);
+  }
+  this->is_proposing_key = false;
 }
 
 asio::awaitable<void> StoreSync::Register() {
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -93,6 +93,7 @@
   void RecordQueryFailure(TableWatch& watch, const core::Error& error);
   void RecordQuerySuccess(TableWatch& watch);
   boost::asio::awaitable<void> Register();
+  /// Writes a key until this router or another one has written it, or this router stops.
   boost::asio::awaitable<void> ProposeKey();
 
   /// Takes over the failure domains that the operator has evacuated.
@@ -132,6 +133,10 @@
   core::TimePoint peer_discovery_end{};
   /// True if this router queries the store permanently; unset until its rank is first computed.
   std::optional<bool> is_store_poller;
+  /// True if the store holds a key for reports, as far as this router has read.
+  bool key_is_stored = false;
+  /// True while `ProposeKey` runs.
+  bool is_proposing_key = false;
   /// Number of calls of `Jitter`.
   std::uint64_t draws = 0;
 };
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -45,12 +45,17 @@
     """Versioned rows by table and key.
 
     `mode` is "ok", "reset" (closes connections), "silent" (never responds) or an HTTP error status.
+    `write_mode` concerns writes only, while reads are served: "ok", "lost" (a write is applied, but the
+    connection is closed without a response) or an HTTP error status, with which nothing is written.
     """
 
     def __init__(self):
         self.rows = {}
         self.version = 1
         self.mode = "ok"
+        self.write_mode = "ok"
+        # Key of the row and status of the response of each write that arrived while `mode` was "ok", in order.
+        self.writes = []
         self.oldest_version = 0
         self.calls = 0
         self.changed = None
@@ -91,7 +96,10 @@
             if self.mode != "ok":
                 writer.write(response(self.mode))
                 continue
-            writer.write(await self.handle(message))
+            answer = await self.handle(message)
+            if answer is None:
+                break
+            writer.write(answer)
         writer.close()
 
     async def handle(self, message):
@@ -99,7 +107,7 @@
         url = urllib.parse.urlparse(line.split()[1])
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
         if url.path.endswith("rows-tx"):
-            return self.transact(json.loads(body))
+            return self.write(json.loads(body))
         if url.path.endswith("rows-get"):
             return response(200, self.answer(query["table"]))
         after = int(query["after-rev"])
@@ -117,6 +125,14 @@
             return response(410)
         return response(200, self.answer(query["table"], after))
 
+    def write(self, call):
+        """Returns the response to a write, or None if it is lost."""
+        refused = isinstance(self.write_mode, int)
+        answer = response(self.write_mode) if refused else self.transact(call)
+        status = int(answer.split()[1])
+        self.writes += [(row["key"], status) for row in call["set-keys"] + call["remove"]]
+        return None if self.write_mode == "lost" else answer
+
     def transact(self, call):
         for condition in call["expected-rev"]:
             known = self.rows.get((condition["table"], condition["key"]), (None, 0))
