Edge: A router that the store rejects keeps serving after an evacuation

Cause: the proof of the operator's table covers the evacuations, but a router that learned of one from a report kept its old proof. The proofs of the other routers then no longer confirmed its configuration, and it refused requests with a key once revoke-ms had passed, until the store answered it again.

Change: the proof follows the evacuations adopted from a report. A change of the configuration still outdates it.

Test: test_a_router_that_the_store_rejects_follows_and_serves failed before the change and passes after it.

--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -63,7 +63,7 @@
 }
 
 void StoreSync::OnReport(const dispatch::PeerReport& report) {
-  if (report.evacuations) AdoptEvacuations(this->router, *report.evacuations, report.sender);
+  if (report.evacuations) this->ApplyReportedEvacuations(*report.evacuations, report.sender);
   if (const auto at = this->ApplyProof(this->policy_watch, report.policy, report.sender)) {
     this->router.policy_confirmed_at = std::max(this->router.policy_confirmed_at, *at);
   }
@@ -72,6 +72,16 @@
   this->ApplyProof(this->runner_watch, report.directory, report.sender);
 }
 
+// A router that the store rejects never reads the rows, so its proof follows what it was told.
+// Otherwise the others' proofs would no longer confirm its configuration.
+void StoreSync::ApplyReportedEvacuations(const dispatch::Evacuations& evacuations,
+                                         const std::string& sender) {
+  if (!dispatch::IsNewer(evacuations, this->router.evacuations)) return;
+  AdoptEvacuations(this->router, evacuations, sender);
+  auto& proof = this->policy_watch.proof;
+  if (proof && this->router.policy) proof->state = this->PolicyState();
+}
+
 void StoreSync::ApplyDirectoryChanges(const dispatch::PeerReport& report) {
   auto& proof = this->runner_watch.proof;
   // Only a report with newer content is applied: an older one, or one whose changes are all known,
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -97,6 +97,9 @@
 
   /// Takes over the failure domains that the operator has evacuated.
   void ApplyEvacuations(const adapter::StoreRows& rows, bool whole);
+  /// Takes over the evacuated failure domains that another router reports.
+  void ApplyReportedEvacuations(const dispatch::Evacuations& evacuations,
+                                const std::string& sender);
   /// State of the operator's table in its proof.
   std::uint64_t PolicyState() const;
   void ApplyPolicy(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -7,7 +7,8 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import KEY, Router, check_no_new_work, until  # noqa: E402
+from platform_router import KEY, REVOCATION_LIMIT, Router, check_no_new_work, until  # noqa: E402
+from proxy import Proxy  # noqa: E402
 from table_platform import Platform  # noqa: E402
 
 # Limits that the users require, in seconds.
@@ -141,5 +142,40 @@
             self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND, runner.identifier)
 
 
+class EvacuationInAFleetTest(unittest.TestCase):
+    """Two routers; the second reaches the store through a proxy."""
+
+    def setUp(self):
+        self.platform = Platform()
+        self.platform.configure(3, [KEY], cold=(COLD_SECONDS, COLD_PER_SECOND))
+        self.platform.add_runner("i-a-desk", "desk", "a")
+        self.away = self.platform.add_runner("i-b-desk", "desk", "b")
+        self.store_proxy = Proxy(self.platform.store_port)
+        self.first = Router(self.platform.store_port, "127.0.0.1")
+        self.addCleanup(self.first.end)
+        self.second = Router(self.store_proxy.port, "127.0.0.2")
+        self.addCleanup(self.second.end)
+        for router in (self.first, self.second):
+            self.assertTrue(until(router.is_ready, 5))
+        # By then the routers know each other.
+        time.sleep(3)
+
+    def evacuation_lines(self, router):
+        return [line for line in router.log_lines() if line["message"] == "evacuation"]
+
+    # Guards against a router that the store rejects and that refuses all requests with a key after an
+    # evacuation, because it no longer takes the proofs of the others as confirmation of its configuration.
+    def test_a_router_that_the_store_rejects_follows_and_serves(self):
+        self.store_proxy.disturb("refuse")
+        time.sleep(1)
+        self.platform.put("op", "evacuate/b", b"{}")
+        self.assertTrue(until(lambda: self.evacuation_lines(self.second), EVACUATION_LIMIT))
+        time.sleep(REVOCATION_LIMIT + 2)
+        before = len(self.away.requests)
+        plain = [self.second.send(f"plain-{n}", "/l/1", "GET")[0] for n in range(5)]
+        self.assertEqual(plain, [200] * 5)
+        self.assertEqual(len(self.away.requests), before)
+
+
 if __name__ == "__main__":
     unittest.main()
