Edge: A new run does not end the time for which a runner is presumed cold

Cause: an entry with a new start time reset the cold state. If the entry lacked cold-left-ms or had an invalid one, a runner that had crashed, or whose domain had just been taken back, counted as warm at once.

Change: the state is kept over a restart; the new entry can only extend it.

Test: test_a_new_run_does_not_end_the_time_after_an_evacuation got 80 requests in one second at the runner before (4 tolerated) and passes after the change.

--- a/libraries/dispatch/cold_runners.h
+++ b/libraries/dispatch/cold_runners.h
@@ -14,7 +14,8 @@
 // power back and when an evacuation ends. One coordinator for each cold runner therefore grants the
 // starts of requests there.
 
-/// How long a runner is treated as cold. It holds for one run of the runner.
+/// How long a runner is treated as cold. A restart does not shorten it: the new entry may lack the
+/// time, and a runner that has just started is no warmer than before.
 struct ColdState {
   /// By what this router observed itself; it is told to the other routers.
   core::TimePoint observed_until{};
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -330,7 +330,6 @@
     runner->prefixes.Clear();
     runner->health = {};
     runner->notices = {};
-    runner->cold = {};
   }
   if (known && runner->record.address != record.address) {
     this->pool.Forget(runner->record.address);
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -141,6 +141,39 @@
         for runner in (started, self.away[1]):
             self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND, runner.identifier)
 
+    # Guards against a runner that gets full traffic because its entry names a new run without the time for
+    # which it is cold, although its domain was taken back just before.
+    def test_a_new_run_does_not_end_the_time_after_an_evacuation(self):
+        runner = self.away[1]
+        self.platform.put("op", "evacuate/b", b"{}")
+        time.sleep(EVACUATION_LIMIT)
+        since = time.monotonic()
+        self.platform.remove("op", "evacuate/b")
+        self.assertTrue(until(lambda: self.cold_lines(self.router, runner), 2))
+        runner.born += 1000
+        self.platform.put("servers", runner.identifier, runner.entry())
+        time.sleep(0.6)
+        self.burst(since + COLD_SECONDS - 0.2)
+        self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND)
+
+    def burst(self, end):
+        """Sends requests to the plain service without pause until `end`."""
+
+        def call(number):
+            count = 0
+            while time.monotonic() < end:
+                count += 1
+                self.router.send(f"burst-{number}-{count}", "/l/1", "GET")
+
+        in_parallel([lambda n=number: call(n) for number in range(8)])
+
+    def cold_lines(self, router, runner):
+        return [
+            line
+            for line in router.log_lines()
+            if line["message"] == "runner_cold" and line["runner"] == runner.identifier
+        ]
+
 
 class EvacuationInAFleetTest(unittest.TestCase):
     """Two routers; the second reaches the store through a proxy."""
