Edge: A router that starts after an evacuation learns that the runners are presumed cold

Cause: no router told the others that the runners of a domain that was taken back are presumed cold. A router that started in that time found no row and took them for warm.

Change: a router that reads the end of an evacuation from the store reports the runners of the domain as cold. One that learns of it from a report does not, so that a late report does not extend the time.

--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -110,7 +110,14 @@
     for (const auto& [id, runner] : state.runners) {
       if (runner->record.domain != domain) continue;
       const auto* upstream = FindUpstream(state, *runner);
-      if (upstream != nullptr) TellCold(state, *runner, upstream->cold_start, "evacuation_ended");
+      if (upstream == nullptr) continue;
+      // Only what was read from the store is told to the other routers, so that a late report does
+      // not extend the time.
+      if (source == "store") {
+        ObserveCold(state, *runner, "evacuation_ended");
+      } else {
+        TellCold(state, *runner, upstream->cold_start, "evacuation_ended");
+      }
     }
   }
   state.metrics
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -212,7 +212,9 @@
 void TellCold(RouterState& state, Runner& runner, core::Duration left, std::string_view source);
 
 /// Replaces the evacuations if `read` is newer. When an evacuation ends, the runners of its domain
-/// count as cold, because they had no work and may have been restarted.
+/// count as cold, because they had no work and may have been restarted. `source` is "store" or the
+/// name of the router that told it; what was read from the store is told to the others, so that
+/// routers that start shortly after it know it too.
 void AdoptEvacuations(RouterState& state, const dispatch::Evacuations& read,
                       std::string_view source);
 
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -209,6 +209,21 @@
         self.assertEqual(plain, [200] * 5)
         self.assertEqual(len(self.away.requests), before)
 
+    # Guards against a router that starts just after an evacuation has ended and takes the runners of the
+    # domain for warm.
+    def test_a_started_router_learns_which_domain_was_taken_back(self):
+        self.platform.put("op", "evacuate/b", b"{}")
+        self.assertTrue(until(lambda: self.evacuation_lines(self.second), EVACUATION_LIMIT))
+        self.second.process.kill()
+        self.second.process.wait()
+        self.platform.remove("op", "evacuate/b")
+        self.assertTrue(until(lambda: len(self.evacuation_lines(self.first)) == 2, EVACUATION_LIMIT))
+        before = len(self.second.log_lines())
+        self.second.start()
+        self.assertTrue(
+            until(lambda: any(line["message"] == "runner_cold" for line in self.second.log_lines()[before:]), 2)
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
