Dispatch: Bound the names of evacuated domains that reports carry

Cause: 64 names of 200 bytes took 13 of the 16 KiB of a report. With the loads of 120 runners a report had 18,365 bytes; its receivers read 16,384, so none was accepted.

Change: the names of all evacuated domains together are kept up to 2,048 bytes.

Test: PeerMessageTest.FitsIntoOneDatagramWithManyEvacuationsAndColdRunners failed before (18,365 bytes) and passes after the change.

--- a/libraries/dispatch/evacuations.cc
+++ b/libraries/dispatch/evacuations.cc
@@ -3,6 +3,15 @@
 #include "libraries/core/identifiers.h"
 
 namespace pomelospar::dispatch {
+namespace {
+
+bool HasRoomFor(const Evacuations& evacuations, std::string_view domain) {
+  auto bytes = domain.size();
+  for (const auto& known : evacuations.domains) bytes += known.size();
+  return evacuations.domains.size() < kMaxEvacuatedDomains && bytes <= kMaxDomainNamesBytes;
+}
+
+}  // namespace
 
 bool IsValidDomainName(std::string_view domain) {
   return !domain.empty() && domain.size() <= kMaxDomainNameBytes;
@@ -16,7 +25,7 @@
   for (const auto& row : rows) {
     if (row.removed) {
       result.domains.erase(row.domain);
-    } else if (IsValidDomainName(row.domain) && result.domains.size() < kMaxEvacuatedDomains) {
+    } else if (IsValidDomainName(row.domain) && HasRoomFor(result, row.domain)) {
       result.domains.insert(row.domain);
     }
   }
--- a/libraries/dispatch/evacuations.h
+++ b/libraries/dispatch/evacuations.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <span>
 #include <string>
@@ -21,6 +22,9 @@
 /// Limits what a faulty writer of the operator's table can make a router keep and report.
 inline constexpr std::size_t kMaxEvacuatedDomains = 64;
 inline constexpr std::size_t kMaxDomainNameBytes = 200;
+/// Limit of all names together. Each report carries them, and 64 names of 200 bytes would leave too
+/// little of a datagram for the rest of it.
+inline constexpr std::size_t kMaxDomainNamesBytes = 2048;
 
 /// A row of the operator's table that requests or withdraws an evacuation.
 struct EvacuationRow {
@@ -33,7 +37,7 @@
 
 /// Returns `known` after the rows read at `version`. `whole` is true if the rows are the whole
 /// table; otherwise they are changes since an earlier read. Invalid names and domains beyond
-/// `kMaxEvacuatedDomains` are left out.
+/// `kMaxEvacuatedDomains` or `kMaxDomainNamesBytes` are left out.
 Evacuations AfterRows(const Evacuations& known, std::span<const EvacuationRow> rows, bool whole,
                       std::uint64_t version);
 
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/dispatch/cold_runners.h"
+#include "libraries/dispatch/evacuations.h"
 #include "libraries/http/byte_stream.h"
 #include "libraries/wire/fleet_keys.h"
 #include "services/pomelospar_edge/event_splitter.h"
@@ -192,6 +194,23 @@
   EXPECT_LT(EncodeSignedReport(report, Key()).size(), 16'384U);
 }
 
+// Guards against reports that no router can read because a faulty writer put many rows with long
+// names into the operator's table.
+TEST(PeerMessageTest, FitsIntoOneDatagramWithManyEvacuationsAndColdRunners) {
+  std::vector<dispatch::EvacuationRow> rows;
+  for (std::size_t row = 0; row < dispatch::kMaxEvacuatedDomains; ++row) {
+    rows.push_back({std::to_string(row) + std::string(dispatch::kMaxDomainNameBytes - 2, 'x')});
+  }
+  auto report = Report();
+  report.evacuations = dispatch::AfterRows({}, rows, true, 1'000'000);
+  for (std::uint64_t key = 0; key < 120; ++key) {
+    report.runners[~key] = {.prefill_tokens = 1e6, .active = 100.0, .memory_tokens = 1e6};
+    report.cold_runners.push_back({{~key, 1'700'000'000'000}, dispatch::kLongestColdTime});
+  }
+  EXPECT_LT(EncodeSignedReport(report, Key()).size(), 16'384U);
+  EXPECT_FALSE(report.evacuations->domains.empty());
+}
+
 // Guards against a proof for a later time than its sender knows: messages carry whole milliseconds,
 // so the time must be rounded down.
 TEST(PeerMessageTest, RoundsTheTimesOfProofsDown) {
