Edge: Grant no starts at cold runners before the routers' rows were read

Cause: a router grants starts if it hears from more than half of the listed routers of its domain. Until the table of the routers had been read, it was the only one on its list, so 2 s after its start it granted starts to itself. Routers that started while the store did not answer these reads all did so.

Change: starts are granted only with the fleet's key, which is read together with the rows.

Test: EngineCoordinatorTest.GrantsColdStartsOnlyAfterReadingTheRouters failed before the change and passes after it.

--- a/services/pomelospar_edge/engine_coordinator.cc
+++ b/services/pomelospar_edge/engine_coordinator.cc
@@ -135,6 +135,9 @@
 
 bool EngineCoordinator::TryGrantColdStart(const Runner& runner) {
   const auto now = this->state.clock.now();
+  // The key is read together with the rows of the routers. Before that, this router takes itself
+  // for the only one.
+  if (!this->peers.has_key()) return false;
   if (!this->state.policy || this->CoordinatorOf(runner) != this->state.settings.ip) return false;
   if (!dispatch::MayGrantColdStarts(this->peers.LiveInDomain(), this->peers.ListedInDomain(),
                                     now - this->started_at)) {
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -2,8 +2,10 @@
 #include <rapidcheck/gtest.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <exception>
 #include <memory>
 #include <string>
 #include <utility>
@@ -13,6 +15,7 @@
 #include "libraries/dispatch/evacuations.h"
 #include "libraries/http/byte_stream.h"
 #include "libraries/wire/fleet_keys.h"
+#include "services/pomelospar_edge/engine_coordinator.h"
 #include "services/pomelospar_edge/event_splitter.h"
 #include "services/pomelospar_edge/held_bytes.h"
 #include "services/pomelospar_edge/peer_exchange.h"
@@ -357,6 +360,37 @@
   EXPECT_EQ(state.peers.size(), kReports);
 }
 
+// Guards against several routers that each take themselves for the only one of their failure domain
+// and grant starts, because the store did not answer the reads of the routers' rows.
+TEST(EngineCoordinatorTest, GrantsColdStartsOnlyAfterReadingTheRouters) {
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::BufferedLog log(-1, clock.clock());
+  adapter::InstanceSettings settings;
+  settings.ip = "127.0.0.1";
+  settings.domain = "a";
+  RouterState state(io, clock.clock(), settings, log);
+  auto exchange = std::move(PeerExchange::Create(state).value());
+  const EngineCoordinator coordinator(state, *exchange);
+  auto policy = std::make_shared<dispatch::Policy>();
+  policy->upstreams["desk"].cold_starts_per_second = 10.0;
+  state.policy = policy;
+  auto runner = std::make_shared<Runner>(state.prefix_index);
+  runner->record = {.id = "i-1", .upstream = "desk", .domain = "a"};
+  const auto is_granted = [&] {
+    bool granted = false;
+    boost::asio::co_spawn(io, state.confirm_cold_start(runner, {}),
+                          [&](const std::exception_ptr&, bool result) { granted = result; });
+    io.restart();
+    io.poll();
+    return granted;
+  };
+  clock.Advance(std::chrono::seconds(10));
+  EXPECT_FALSE(is_granted());
+  exchange->SetKey(std::string(wire::kMinimumSecretBytes, 'k'));
+  EXPECT_TRUE(is_granted());
+}
+
 // Guards against requests that were refused before and are placed ahead of requests that can still
 // meet their objective.
 TEST(WaitQueueTest, TriesCallerRetriesLastAndOthersInOrderOfArrival) {
