Edge: A grant of a start at a cold runner expires after 500 ms

Cause: the grant of a start had no end. A router that was paused between the grant and the sending sent to the cold runner when the coordinator no longer counted the start.

Change: a start is sent within 500 ms after it was asked for, or not at all; this covers the reply (30 ms) and the opening of a connection (300 ms).

In some runs the pause also ends the opening of the connection; the test passes then without reaching the check of the grant.

--- a/libraries/dispatch/cold_runners.h
+++ b/libraries/dispatch/cold_runners.h
@@ -47,6 +47,11 @@
 /// themselves for the coordinator, so each grants at most half of that.
 double ColdStartRate(double per_second, double overshoot, double slack);
 
+/// A granted start is used within this time after it was asked for, or not at all. It covers the
+/// reply and the opening of a connection. A router that was paused would otherwise use its grants
+/// long after the coordinator has ceased to count them.
+inline constexpr core::Duration kColdStartLifetime = std::chrono::milliseconds(500);
+
 /// Starts that one coordinator granted at a cold runner in the last second.
 class ColdStarts {
  public:
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -207,15 +207,18 @@
   // own view.
   constexpr unsigned kMaxProposals = 6;
   auto& runner = this->reservation->runner();
-  this->has_cold_start = IsCold(this->state, runner);
-  if (this->has_cold_start) {
+  this->cold_start_until = {};
+  if (IsCold(this->state, runner)) {
     const auto asked_for = runner.shared_from_this();
-    this->has_cold_start = co_await this->state.confirm_cold_start(asked_for, this->proposal);
-    if (!this->has_cold_start) {
+    const auto asked_at = this->state.clock.now();
+    const bool is_granted = co_await this->state.confirm_cold_start(asked_for, this->proposal);
+    if (is_granted) {
+      this->cold_start_until = asked_at + dispatch::kColdStartLifetime;
+    } else {
       ++this->withheld_cold_starts;
       asked_for->cold.next_request_at = this->state.clock.now() + kColdStartPause;
     }
-    co_return this->has_cold_start;
+    co_return is_granted;
   }
   if (!this->upstream->engine || !this->state.confirm_placement) co_return true;
   if (this->proposals == kMaxProposals) co_return true;
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -190,8 +190,9 @@
   unsigned proposals = 0;
   /// Starts at cold runners that were asked for and not granted.
   unsigned withheld_cold_starts = 0;
-  /// True if the latest placement is at a cold runner whose coordinator granted the start.
-  bool has_cold_start = false;
+  /// Until then the latest placement may be sent to a cold runner, because its coordinator granted
+  /// the start.
+  core::TimePoint cold_start_until{};
   double predicted_ms = 0.0;
   double queue_ms = 0.0;
   double cached_tokens = 0.0;
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -176,12 +176,11 @@
   // loop is late, the caller may have closed its connection long before this is reported.
   if (this->CallerMayBeGone() && this->exchange.PeerHasClosed()) this->caller_gone = true;
   if (this->caller_gone || this->deadline_passed || !AcceptsNewRequests(this->state, runner) ||
-      (!this->has_cold_start && IsCold(this->state, runner)) ||
+      (this->state.clock.now() >= this->cold_start_until && IsCold(this->state, runner)) ||
       dispatch::IsResting(runner.notices, this->state.clock.now()) || !this->KeyIsStillValid() ||
       !this->MaySendDuringStop()) {
     this->failure =
-        "the runner drains, rests, was evacuated or became cold, the key was revoked, the caller "
-        "no "
+        "the runner drains, rests, was evacuated or is cold, the key was revoked, the caller no "
         "longer waits or this router stops";
     ++this->unsent_attempts;
     this->pool.Release(std::move(connection));
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -1,6 +1,8 @@
 """Evacuated failure domains and cold runners, with the real router against the platform stand-in."""
 
 import os
+import signal
+import socket
 import sys
 import threading
 import time
@@ -9,7 +11,7 @@
 sys.path.insert(0, os.path.dirname(__file__))
 from platform_router import KEY, REVOCATION_LIMIT, Router, check_no_new_work, until  # noqa: E402
 from proxy import Proxy  # noqa: E402
-from table_platform import Platform  # noqa: E402
+from table_platform import Platform, Runner  # noqa: E402
 
 # Limits that the users require, in seconds.
 EVACUATION_LIMIT = 5.0
@@ -156,6 +158,52 @@
         self.burst(since + COLD_SECONDS - 0.2)
         self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND)
 
+    # Guards against a router that was paused between the grant of a start and the sending, and sends to the
+    # cold runner when the coordinator no longer counts the start.
+    def test_a_paused_router_does_not_use_an_old_grant(self):
+        for runner in (self.home[0], self.away[0]):
+            self.platform.put("servers", runner.identifier, runner.entry("draining"))
+        # Connections are not opened until its queue has room; their first packet is repeated after a second.
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        cold = Runner("i-cold", "engines")
+        cold.port, cold.cold_left_ms = listener.getsockname()[1], 60000
+        self.platform.put("servers", "i-cold", cold.entry())
+        time.sleep(1)
+        caller = threading.Thread(target=self.send, args=["/s/1"])
+        caller.start()
+        time.sleep(0.15)
+        self.router.process.send_signal(signal.SIGSTOP)
+        for filler in fillers:
+            filler.close()
+        received, accepted, end = b"", [], time.monotonic() + 1.7
+        while time.monotonic() < end:
+            listener.settimeout(max(end - time.monotonic(), 0.01))
+            try:
+                accepted.append(listener.accept()[0])
+            except TimeoutError:
+                break
+        self.router.process.send_signal(signal.SIGCONT)
+        time.sleep(0.5)
+        for connection in accepted:
+            connection.settimeout(0.2)
+            try:
+                received += connection.recv(65536)
+            except OSError:
+                pass
+            connection.close()
+        caller.join()
+        # A connection was opened during the pause.
+        self.assertTrue(accepted)
+        self.assertEqual(received, b"")
+
     def burst(self, end):
         """Sends requests to the plain service without pause until `end`."""
 
