--- a/libraries/dispatch/cold_runners.h
+++ b/libraries/dispatch/cold_runners.h
@@ -1,6 +1,7 @@
 #ifndef POMELOSPAR_LIBRARIES_DISPATCH_COLD_RUNNERS_H_
 #define POMELOSPAR_LIBRARIES_DISPATCH_COLD_RUNNERS_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -14,7 +15,8 @@
 // power back and when an evacuation ends. One coordinator for each cold runner therefore grants the
 // starts of requests there.
 
-/// How long a runner is treated as cold. It holds for one run of the runner.
+/// How long a runner is treated as cold. A restart does not shorten it: the new entry may lack the
+/// time, and a runner that has just started is no warmer than before.
 struct ColdState {
   /// By what this router observed itself; it is told to the other routers.
   core::TimePoint observed_until{};
@@ -45,12 +47,19 @@
 /// themselves for the coordinator, so each grants at most half of that.
 double ColdStartRate(double per_second, double overshoot, double slack);
 
+/// A granted start is used within this time after it was asked for, or not at all. It covers the
+/// reply and the opening of a connection. A router that was paused would otherwise use its grants
+/// long after the coordinator has ceased to count them.
+inline constexpr core::Duration kColdStartLifetime = std::chrono::milliseconds(500);
+
 /// Starts that one coordinator granted at a cold runner in the last second.
 class ColdStarts {
  public:
   /// Counts a start and returns true unless `per_second` starts were granted in the second before
   /// `now`.
   bool TryGrant(core::TimePoint now, double per_second);
+  /// Returns true if no start was granted in the second before `now`.
+  bool IsIdle(core::TimePoint now) const;
 
  private:
   std::deque<core::TimePoint> granted;
--- a/services/pomelospar_edge/engine_coordinator.cc
+++ b/services/pomelospar_edge/engine_coordinator.cc
@@ -135,6 +135,9 @@
 
 bool EngineCoordinator::TryGrantColdStart(const Runner& runner) {
   const auto now = this->state.clock.now();
+  // The key is read together with the rows of the routers. Before that, this router takes itself
+  // for the only one.
+  if (!this->peers.has_key()) return false;
   if (!this->state.policy || this->CoordinatorOf(runner) != this->state.settings.ip) return false;
   if (!dispatch::MayGrantColdStarts(this->peers.LiveInDomain(), this->peers.ListedInDomain(),
                                     now - this->started_at)) {
@@ -145,6 +148,7 @@
   const auto& settings = this->state.settings;
   const auto rate = dispatch::ColdStartRate(upstream->second.cold_starts_per_second,
                                             settings.cold_overshoot, settings.cold_slack);
+  std::erase_if(this->cold_starts, [now](const auto& entry) { return entry.second.IsIdle(now); });
   return this->cold_starts[runner.key].TryGrant(now, rate);
 }
 
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -77,9 +77,10 @@
 }
 
 bool IsCold(const RouterState& state, const Runner& runner) {
+  // Called for each runner at each placement, and nearly always false: the search by name is last.
+  if (!dispatch::IsCold(runner.cold, state.clock.now())) return false;
   const auto* upstream = FindUpstream(state, runner);
-  return upstream != nullptr && upstream->cold_starts_per_second > 0.0 &&
-         dispatch::IsCold(runner.cold, state.clock.now());
+  return upstream != nullptr && upstream->cold_starts_per_second > 0.0;
 }
 
 void ObserveCold(RouterState& state, Runner& runner, std::string_view reason) {
@@ -110,7 +111,14 @@
     for (const auto& [id, runner] : state.runners) {
       if (runner->record.domain != domain) continue;
       const auto* upstream = FindUpstream(state, *runner);
-      if (upstream != nullptr) TellCold(state, *runner, upstream->cold_start, "evacuation_ended");
+      if (upstream == nullptr) continue;
+      // Only what was read from the store is told to the other routers, so that a late report does
+      // not extend the time.
+      if (source == "store") {
+        ObserveCold(state, *runner, "evacuation_ended");
+      } else {
+        TellCold(state, *runner, upstream->cold_start, "evacuation_ended");
+      }
     }
   }
   state.metrics
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -2,15 +2,20 @@
 #include <rapidcheck/gtest.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <exception>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "libraries/dispatch/cold_runners.h"
+#include "libraries/dispatch/evacuations.h"
 #include "libraries/http/byte_stream.h"
 #include "libraries/wire/fleet_keys.h"
+#include "services/pomelospar_edge/engine_coordinator.h"
 #include "services/pomelospar_edge/event_splitter.h"
 #include "services/pomelospar_edge/held_bytes.h"
 #include "services/pomelospar_edge/peer_exchange.h"
@@ -192,6 +197,23 @@
   EXPECT_LT(EncodeSignedReport(report, Key()).size(), 16'384U);
 }
 
+// Guards against reports that no router can read because a faulty writer put many rows with long
+// names into the operator's table.
+TEST(PeerMessageTest, FitsIntoOneDatagramWithManyEvacuationsAndColdRunners) {
+  std::vector<dispatch::EvacuationRow> rows;
+  for (std::size_t row = 0; row < dispatch::kMaxEvacuatedDomains; ++row) {
+    rows.push_back({std::to_string(row) + std::string(dispatch::kMaxDomainNameBytes - 2, 'x')});
+  }
+  auto report = Report();
+  report.evacuations = dispatch::AfterRows({}, rows, true, 1'000'000);
+  for (std::uint64_t key = 0; key < 120; ++key) {
+    report.runners[~key] = {.prefill_tokens = 1e6, .active = 100.0, .memory_tokens = 1e6};
+    report.cold_runners.push_back({{~key, 1'700'000'000'000}, dispatch::kLongestColdTime});
+  }
+  EXPECT_LT(EncodeSignedReport(report, Key()).size(), 16'384U);
+  EXPECT_FALSE(report.evacuations->domains.empty());
+}
+
 // Guards against a proof for a later time than its sender knows: messages carry whole milliseconds,
 // so the time must be rounded down.
 TEST(PeerMessageTest, RoundsTheTimesOfProofsDown) {
@@ -338,6 +360,37 @@
   EXPECT_EQ(state.peers.size(), kReports);
 }
 
+// Guards against several routers that each take themselves for the only one of their failure domain
+// and grant starts, because the store did not answer the reads of the routers' rows.
+TEST(EngineCoordinatorTest, GrantsColdStartsOnlyAfterReadingTheRouters) {
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::BufferedLog log(-1, clock.clock());
+  adapter::InstanceSettings settings;
+  settings.ip = "127.0.0.1";
+  settings.domain = "a";
+  RouterState state(io, clock.clock(), settings, log);
+  auto exchange = std::move(PeerExchange::Create(state).value());
+  const EngineCoordinator coordinator(state, *exchange);
+  auto policy = std::make_shared<dispatch::Policy>();
+  policy->upstreams["desk"].cold_starts_per_second = 10.0;
+  state.policy = policy;
+  auto runner = std::make_shared<Runner>(state.prefix_index);
+  runner->record = {.id = "i-1", .upstream = "desk", .domain = "a"};
+  const auto is_granted = [&] {
+    bool granted = false;
+    boost::asio::co_spawn(io, state.confirm_cold_start(runner, {}),
+                          [&](const std::exception_ptr&, bool result) { granted = result; });
+    io.restart();
+    io.poll();
+    return granted;
+  };
+  clock.Advance(std::chrono::seconds(10));
+  EXPECT_FALSE(is_granted());
+  exchange->SetKey(std::string(wire::kMinimumSecretBytes, 'k'));
+  EXPECT_TRUE(is_granted());
+}
+
 // Guards against requests that were refused before and are placed ahead of requests that can still
 // meet their objective.
 TEST(WaitQueueTest, TriesCallerRetriesLastAndOthersInOrderOfArrival) {
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -1,14 +1,17 @@
 """Evacuated failure domains and cold runners, with the real router against the platform stand-in."""
 
 import os
+import signal
+import socket
 import sys
 import threading
 import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import KEY, Router, check_no_new_work, until  # noqa: E402
-from table_platform import Platform  # noqa: E402
+from platform_router import KEY, REVOCATION_LIMIT, Router, check_no_new_work, until  # noqa: E402
+from proxy import Proxy  # noqa: E402
+from table_platform import Platform, Runner  # noqa: E402
 
 # Limits that the users require, in seconds.
 EVACUATION_LIMIT = 5.0
@@ -140,6 +143,135 @@
         for runner in (started, self.away[1]):
             self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND, runner.identifier)
 
+    # Guards against a runner that gets full traffic because its entry names a new run without the time for
+    # which it is cold, although its domain was taken back just before.
+    def test_a_new_run_does_not_end_the_time_after_an_evacuation(self):
+        runner = self.away[1]
+        self.platform.put("op", "evacuate/b", b"{}")
+        time.sleep(EVACUATION_LIMIT)
+        since = time.monotonic()
+        self.platform.remove("op", "evacuate/b")
+        self.assertTrue(until(lambda: self.cold_lines(self.router, runner), 2))
+        runner.born += 1000
+        self.platform.put("servers", runner.identifier, runner.entry())
+        time.sleep(0.6)
+        self.burst(since + COLD_SECONDS - 0.2)
+        self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND)
+
+    # Guards against a router that was paused between the grant of a start and the sending, and sends to the
+    # cold runner when the coordinator no longer counts the start.
+    def test_a_paused_router_does_not_use_an_old_grant(self):
+        for runner in (self.home[0], self.away[0]):
+            self.platform.put("servers", runner.identifier, runner.entry("draining"))
+        # Connections are not opened until its queue has room; their first packet is repeated after a second.
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        cold = Runner("i-cold", "engines")
+        cold.port, cold.cold_left_ms = listener.getsockname()[1], 60000
+        self.platform.put("servers", "i-cold", cold.entry())
+        time.sleep(1)
+        caller = threading.Thread(target=self.send, args=["/s/1"])
+        caller.start()
+        time.sleep(0.15)
+        self.router.process.send_signal(signal.SIGSTOP)
+        for filler in fillers:
+            filler.close()
+        received, accepted, end = b"", [], time.monotonic() + 1.7
+        while time.monotonic() < end:
+            listener.settimeout(max(end - time.monotonic(), 0.01))
+            try:
+                accepted.append(listener.accept()[0])
+            except TimeoutError:
+                break
+        self.router.process.send_signal(signal.SIGCONT)
+        time.sleep(0.5)
+        for connection in accepted:
+            connection.settimeout(0.2)
+            try:
+                received += connection.recv(65536)
+            except OSError:
+                pass
+            connection.close()
+        caller.join()
+        # A connection was opened during the pause.
+        self.assertTrue(accepted)
+        self.assertEqual(received, b"")
+
+    def burst(self, end):
+        """Sends requests to the plain service without pause until `end`."""
+
+        def call(number):
+            count = 0
+            while time.monotonic() < end:
+                count += 1
+                self.router.send(f"burst-{number}-{count}", "/l/1", "GET")
+
+        in_parallel([lambda n=number: call(n) for number in range(8)])
+
+    def cold_lines(self, router, runner):
+        return [
+            line
+            for line in router.log_lines()
+            if line["message"] == "runner_cold" and line["runner"] == runner.identifier
+        ]
+
+
+class EvacuationInAFleetTest(unittest.TestCase):
+    """Two routers; the second reaches the store through a proxy."""
+
+    def setUp(self):
+        self.platform = Platform()
+        self.platform.configure(3, [KEY], cold=(COLD_SECONDS, COLD_PER_SECOND))
+        self.platform.add_runner("i-a-desk", "desk", "a")
+        self.away = self.platform.add_runner("i-b-desk", "desk", "b")
+        self.store_proxy = Proxy(self.platform.store_port)
+        self.first = Router(self.platform.store_port, "127.0.0.1")
+        self.addCleanup(self.first.end)
+        self.second = Router(self.store_proxy.port, "127.0.0.2")
+        self.addCleanup(self.second.end)
+        for router in (self.first, self.second):
+            self.assertTrue(until(router.is_ready, 5))
+        # By then the routers know each other.
+        time.sleep(3)
+
+    def evacuation_lines(self, router):
+        return [line for line in router.log_lines() if line["message"] == "evacuation"]
+
+    # Guards against a router that the store rejects and that refuses all requests with a key after an
+    # evacuation, because it no longer takes the proofs of the others as confirmation of its configuration.
+    def test_a_router_that_the_store_rejects_follows_and_serves(self):
+        self.store_proxy.disturb("refuse")
+        time.sleep(1)
+        self.platform.put("op", "evacuate/b", b"{}")
+        self.assertTrue(until(lambda: self.evacuation_lines(self.second), EVACUATION_LIMIT))
+        time.sleep(REVOCATION_LIMIT + 2)
+        before = len(self.away.requests)
+        plain = [self.second.send(f"plain-{n}", "/l/1", "GET")[0] for n in range(5)]
+        self.assertEqual(plain, [200] * 5)
+        self.assertEqual(len(self.away.requests), before)
+
+    # Guards against a router that starts just after an evacuation has ended and takes the runners of the
+    # domain for warm.
+    def test_a_started_router_learns_which_domain_was_taken_back(self):
+        self.platform.put("op", "evacuate/b", b"{}")
+        self.assertTrue(until(lambda: self.evacuation_lines(self.second), EVACUATION_LIMIT))
+        self.second.process.kill()
+        self.second.process.wait()
+        self.platform.remove("op", "evacuate/b")
+        self.assertTrue(until(lambda: len(self.evacuation_lines(self.first)) == 2, EVACUATION_LIMIT))
+        before = len(self.second.log_lines())
+        self.second.start()
+        self.assertTrue(
+            until(lambda: any(line["message"] == "runner_cold" for line in self.second.log_lines()[before:]), 2)
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
