Tests: Reset the connections of a runner or proxy that crashes

The stand-in's crash closed the connection of a stream without a length like the normal end of that stream, so the router could not know that it was incomplete. A crash resets connections on the users' platform. The stand-in's runner and the proxy before it do the same now, and the proxy also passes a reset on.

--- a/tests/system/proxy.py
+++ b/tests/system/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import threading
 
+from connection_reset import reset_connection
+
 
 class Proxy:
     """Forwards connections to a target.
@@ -43,16 +45,16 @@
 
     def _reset(self):
         for writer in self.writers:
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def _serve(self, reader, writer):
         if self.fault == "refuse":
-            writer.transport.abort()
+            reset_connection(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         pair = {writer, target_writer}
         self.writers |= pair
@@ -62,7 +64,9 @@
                 self._forward(target_reader, writer, ("silent", "mute"), False),
             )
         except OSError:
-            pass
+            # One side reset its connection.
+            for end in pair:
+                reset_connection(end)
         finally:
             self.writers -= pair
             for end in pair:
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -7,12 +7,12 @@
 import asyncio
 import base64
 import json
-import socket
-import struct
 import threading
 import time
 import urllib.parse
 
+from connection_reset import reset_connection
+
 
 async def read_message(reader):
     """Reads an HTTP message as (first line, headers by lower-case name, body), or None at the end."""
@@ -230,7 +230,7 @@
     def crash(self, writer):
         """Closes the listener and resets the connection, like a process that crashes."""
         self.server.close()
-        writer.transport.abort()
+        reset_connection(writer)
 
     def end(self):
         """Closes the listener and resets all connections, like a process that crashes."""
@@ -240,7 +240,7 @@
             return
         self.server.close()
         for writer in self.writers:
-            writer.transport.abort()
+            reset_connection(writer)
 
     def entry(self, state="ready"):
         return json.dumps(
@@ -371,10 +371,7 @@
     async def reset(self, writer):
         await writer.drain()
         await asyncio.sleep(0.05)
-        # Closing with this option resets the connection.
-        linger = struct.pack("ii", 1, 0)
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        writer.transport.abort()
+        reset_connection(writer)
 
     async def stream_unframed(self, known, writer):
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
