Daemon, Http: Reuse a connection only if its responses name their requests

Callers of pomelospard got another caller's whole response, or a second response that the runner had sent after a whole one. It arrived late, when the pool had found the idle connection quiet and given it to the next request, and was read as the response to that one; each later response on the connection was then shifted by one. Nothing in such a response tells to which request it belongs.

A response that carries the request's identifier now keeps its connection in use, and on a connection in use again the identifier is required. A runner that does not copy the header gets a connection for each request, so a late response ends with its connection.

The mutant reuse_unclean is replaced by reuse_unnamed, since the identifier now catches what the former removed.

--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -163,6 +163,7 @@
   bool any_byte_sent = false;
   std::uint64_t requests = 0;
   bool response_read = true;
+  bool reuse_forbidden = false;
   bool failed = false;
 };
 
@@ -296,6 +297,7 @@
 bool UpstreamConnection::reusable() const {
   const auto& self = *this->state;
   if (self.failed || !self.response_read || !self.input.empty()) return false;
+  if (self.reuse_forbidden) return false;
   return self.stream.is_open() && (!self.parser || self.parser->keep_alive());
 }
 
@@ -303,6 +305,8 @@
   return this->reusable() && this->state->stream.IsIdle();
 }
 
+void UpstreamConnection::ForbidReuse() { this->state->reuse_forbidden = true; }
+
 void UpstreamConnection::Close() {
   this->state->failed = true;
   this->state->stream.Close();
--- a/libraries/http/upstream_connection.h
+++ b/libraries/http/upstream_connection.h
@@ -58,12 +58,15 @@
   /// Call after a complete response that belongs to an earlier request. `ReadHead` then waits for
   /// the next response on this connection.
   void ExpectAnotherResponse();
-  /// True if the complete response was read, the upstream keeps the connection open and no bytes
-  /// after the response have been read.
+  /// True if the complete response was read, the upstream keeps the connection open, no bytes after
+  /// the response have been read and reuse was not forbidden.
   bool reusable() const;
   /// True if `reusable` is true and the upstream has neither sent data nor closed the connection
   /// since.
   bool IsIdleAndClean();
+  /// Call if the response does not prove that it belongs to the request: a late second response
+  /// could be taken for the next one, so the connection is not reused.
+  void ForbidReuse();
   /// Closes the connection. Pending operations fail with `kClosed`. The upstream treats a request
   /// in progress as cancelled.
   void Close();
--- a/meta/mutants.py
+++ b/meta/mutants.py
@@ -40,10 +40,9 @@
            "services/pomelospard/request_flow.cc",
            "error.outcome = this->any_byte_sent ? Outcome::kUnknown : Outcome::kNotRun;",
            "error.outcome = Outcome::kNotRun;", "test_at_most_once.py", "AtMostOnceTest"),
-    Mutant("reuse_unclean", "a connection with left-over bytes is not reused",
-           "libraries/http/upstream_connection.cc",
-           "if (self.failed || !self.response_read || !self.input.empty()) return false;",
-           "if (self.failed) return false;", "test_response_isolation.py"),
+    Mutant("reuse_unnamed", "a connection is reused only if its responses name their requests",
+           "services/pomelospard/upstream_attempt.cc",
+           "if (!echoed) connection.ForbidReuse();", "", "test_connection_reuse.py"),
     Mutant("truncated_looks_whole", "the connection is cut when a stream cannot be completed",
            "services/pomelospard/request_flow.cc",
            """    // The response has started, so closing the connection is the only way to report the failure.
--- a/services/pomelospard/request_flow.cc
+++ b/services/pomelospard/request_flow.cc
@@ -173,6 +173,7 @@
   input.route = this->resolution.route;
   input.maximum_response_bytes = this->configuration->limits.maximum_answer_bytes;
   input.runner_address = runner.address;
+  input.request_id = this->id;
   input.request.method = request.method;
   input.request.target = request.target;
   input.request.headers = http::RelayableHeaders(request.headers);
--- a/services/pomelospard/upstream_attempt.cc
+++ b/services/pomelospard/upstream_attempt.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/admission/outcome.h"
+#include "services/pomelospard/router_error.h"
 
 namespace pomelospar::daemon {
 namespace {
@@ -202,6 +203,20 @@
   co_return co_await FinishStream(attempt);
 }
 
+// A faulty upstream may send a second response, late, when the connection is in use again. Only the
+// identifier of the request tells such a response from its own one, so a connection without it
+// carries one request.
+core::Result<void> CheckIdentifier(const AttemptInput& input, const http::ResponseHead& head,
+                                   http::UpstreamConnection& connection) {
+  const auto echoed = head.FindHeader(kRequestIdHeader);
+  if (!echoed) connection.ForbidReuse();
+  if (echoed ? *echoed == input.request_id : !connection.is_reused()) return core::Success();
+  connection.Close();
+  return core::MakeError(
+      core::ErrorKind::kMalformed,
+      fmt::format("upstream {} sent the response to another request", input.runner_address));
+}
+
 asio::awaitable<AttemptResult> SendAndRelay(http::ServerExchange& exchange,
                                             const AttemptInput& input, StreamProgress& progress,
                                             const AttemptHooks& hooks,
@@ -222,6 +237,9 @@
   if (!head) {
     co_return UpstreamError(attempt, head.error());
   }
+  if (auto own = CheckIdentifier(input, head.value(), connection); !own) {
+    co_return UpstreamError(attempt, own.error());
+  }
   attempt.head = std::move(head.value());
   attempt.format = FormatOf(*input.upstream, attempt.head);
   attempt.cost = admission::ResponseCostMeter(input.upstream->cost, attempt.format,
--- a/services/pomelospard/upstream_attempt.h
+++ b/services/pomelospard/upstream_attempt.h
@@ -56,6 +56,8 @@
   const configuration::Route* route = nullptr;
   std::size_t maximum_response_bytes = 0;
   std::string runner_address;
+  /// Identifier of the request at this router, which the header `kRequestIdHeader` carries.
+  std::string request_id;
   http::HttpRequest request;
   /// Headers that every response of this router carries.
   std::vector<http::HttpHeader> response_headers;
--- /dev/null
+++ b/tests/system/test_connection_reuse.py
@@ -0,0 +1,85 @@
+"""Connections of pomelospard to a runner that repeats its responses late."""
+
+import socket
+import threading
+import unittest
+
+import fleet as f
+
+REQUESTS = 12
+
+class RepeatingRunner:
+    """Answers each request with its path. On a connection in use again it first repeats the response before."""
+
+    def __init__(self, repeats, echoes):
+        self.repeats, self.echoes = repeats, echoes
+        self.connections = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=[connection], daemon=True).start()
+
+    def serve(self, connection):
+        previous = b""
+        with connection, connection.makefile("rb") as stream:
+            while request := stream.readline():
+                headers = {}
+                while (line := stream.readline().strip()):
+                    name, _, value = line.partition(b":")
+                    headers[name.lower()] = value.strip()
+                stream.read(int(headers.get(b"content-length", 0)))
+                if not previous:
+                    self.connections += 1
+                elif self.repeats:
+                    connection.sendall(previous)
+                path = request.split()[1]
+                echo = b"Pomelospar-Request-Id: %b\r\n" % headers[b"pomelospar-request-id"] if self.echoes else b""
+                previous = b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b" % (echo, len(path), path)
+                connection.sendall(previous)
+
+class ConnectionReuseTest(unittest.TestCase):
+    def play(self, repeats, echoes):
+        """Sends requests one after the other; returns the runner and the pairs of path and response."""
+        runner = RepeatingRunner(repeats, echoes)
+        self.addCleanup(runner.listener.close)
+        fleet = self.enterContext(f.Fleet())
+        fleet.start_platform()
+        router = fleet.start_routers(["a"])[0]
+        runners = [{"address": runner.address, "domain": "a", "slots": 4}]
+        fleet.apply_and_wait(
+            f.fleet_document({"atlas": {}}, [f.service_upstream(runners)], f.STANDARD_ROUTES[1:]))
+
+        answers = []
+        for number in range(REQUESTS):
+            path = f"/orders/{number}"
+            status, _, content = router.post(path, {}, "atlas")
+            answers.append((path, status, content.decode()))
+        return runner, answers
+
+    # Guards against a late second response that the next caller gets, from a runner that echoes no identifier.
+    def test_a_late_response_reaches_no_other_caller(self):
+        _, answers = self.play(repeats=True, echoes=False)
+        self.assertEqual(answers, [(path, 200, path) for path, _, _ in answers])
+
+    # The same for a runner that echoes the identifier: connections are reused, so a request may fail, but it
+    # gets no foreign response.
+    def test_a_late_response_with_an_identifier_reaches_no_other_caller(self):
+        _, answers = self.play(repeats=True, echoes=True)
+        self.assertEqual([a for a in answers if a[1] == 200 and a[0] != a[2]], [])
+        self.assertIn(200, [status for _, status, _ in answers])
+
+    # Guards against a new connection for each request to a runner whose responses name their requests.
+    def test_connections_are_reused_where_responses_name_their_requests(self):
+        runner, answers = self.play(repeats=False, echoes=True)
+        self.assertEqual([status for _, status, _ in answers], [200] * REQUESTS)
+        self.assertLess(runner.connections, REQUESTS // 2)
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
