Edge, Dispatch: Close the gaps that a review of cold runners and evacuations left

Cold runners: - A failure domain of two listed routers granted no start after one of them had ended without removing its row, for ever: more than half of the listed ones must be heard. The row of a router that was silent for 60 s is now removed under the condition that it is unchanged, a router whose row is gone adds it again, and one that stops repeats the removal until it exits. A whole read of the table also drops routers without a row. - An entry written again with the same cold-left-ms did not begin the time anew. The version of its row tells that it was written. - A rate below one start a second never granted any. - A connection attempt that timed out while this process was paused made a warm runner count as cold. - The source of a planned cache copy is checked again before the send.

Evacuations: - A row whose value cannot be decoded counts as present. - Requests that wait when the last domain is evacuated are refused at the next attempt to place them, not at the limit of their wait.

--- a/libraries/dispatch/cold_runners.cc
+++ b/libraries/dispatch/cold_runners.cc
@@ -8,7 +8,18 @@
 // A started router has read the rows of the others and has received their reports after this time.
 constexpr core::Duration kDiscoveryTime = std::chrono::seconds(2);
 
-constexpr core::Duration kGrantWindow = std::chrono::seconds(1);
+constexpr core::Duration kShortestGrantWindow = std::chrono::seconds(1);
+
+// Starts per second. A runner is cold for at most `kLongestColdTime`, so a lower rate would still
+// mean one start.
+constexpr double kLowestRate = 1.0 / 60.0;
+
+// A rate below one start per second is one start in a longer window.
+core::Duration GrantWindow(double per_second) {
+  if (per_second >= 1.0) return kShortestGrantWindow;
+  const std::chrono::duration<double> window(1.0 / std::max(per_second, kLowestRate));
+  return std::chrono::duration_cast<core::Duration>(window);
+}
 
 core::TimePoint EndOf(core::TimePoint now, core::Duration left) {
   return now + std::clamp(left, core::Duration::zero(), kLongestColdTime);
@@ -37,16 +48,18 @@
 }
 
 bool ColdStarts::TryGrant(core::TimePoint now, double per_second) {
-  while (!this->granted.empty() && this->granted.front() <= now - kGrantWindow) {
+  if (per_second <= 0.0) return false;
+  this->window = GrantWindow(per_second);
+  while (!this->granted.empty() && this->granted.front() <= now - this->window) {
     this->granted.pop_front();
   }
-  if (static_cast<double>(this->granted.size()) + 1.0 > per_second) return false;
+  if (static_cast<double>(this->granted.size()) + 1.0 > std::max(per_second, 1.0)) return false;
   this->granted.push_back(now);
   return true;
 }
 
 bool ColdStarts::IsIdle(core::TimePoint now) const {
-  return this->granted.empty() || this->granted.back() <= now - kGrantWindow;
+  return this->granted.empty() || this->granted.back() <= now - this->window;
 }
 
 bool MayGrantColdStarts(std::size_t live, std::size_t listed, core::Duration since_start) {
--- a/libraries/dispatch/cold_runners.h
+++ b/libraries/dispatch/cold_runners.h
@@ -52,17 +52,20 @@
 /// long after the coordinator has ceased to count them.
 inline constexpr core::Duration kColdStartLifetime = std::chrono::milliseconds(500);
 
-/// Starts that one coordinator granted at a cold runner in the last second.
+/// Starts that one coordinator granted at a cold runner within the window of its rate: one second,
+/// or the time for one start if the rate is lower.
 class ColdStarts {
  public:
   /// Counts a start and returns true unless `per_second` starts were granted in the second before
-  /// `now`.
+  /// `now`. A rate below 1 grants one start every `1 / per_second` seconds.
   bool TryGrant(core::TimePoint now, double per_second);
-  /// Returns true if no start was granted in the second before `now`.
+  /// Returns true if no start was granted in the window before `now`.
   bool IsIdle(core::TimePoint now) const;
 
  private:
   std::deque<core::TimePoint> granted;
+  /// By the rate of the latest call of `TryGrant`.
+  core::Duration window = std::chrono::seconds(1);
 };
 
 /// Returns true if a router may grant starts. `listed` is the number of routers of its failure
--- a/services/pomelospar_edge/peer_exchange.cc
+++ b/services/pomelospar_edge/peer_exchange.cc
@@ -129,18 +129,44 @@
 }
 
 void PeerExchange::SetPeer(const std::string& name, std::string_view address,
-                           std::string_view domain) {
+                           std::string_view domain, std::uint64_t row_version) {
   const auto endpoint = http::ParseEndpoint(address);
   if (!endpoint) {
     this->state.log.Write(LogLevel::kWarning, "peer_row_malformed", {{"peer", name}});
     return;
   }
-  this->addresses[name] = {udp::endpoint(endpoint.value().address(), endpoint.value().port()),
-                           std::string(domain), true};
+  auto& peer = this->addresses[name];
+  const bool is_new = !peer.listed || peer.row_version != row_version;
+  peer.endpoint = udp::endpoint(endpoint.value().address(), endpoint.value().port());
+  peer.domain = domain;
+  peer.listed = true;
+  peer.row_version = row_version;
+  if (is_new) peer.heard_at = this->state.clock.now();
 }
 
 void PeerExchange::RemovePeer(const std::string& name) { this->addresses.erase(name); }
 
+void PeerExchange::RemovePeersExcept(const std::set<std::string, std::less<>>& names) {
+  std::erase_if(this->addresses, [&](const auto& entry) {
+    return entry.second.listed && !names.contains(entry.first);
+  });
+}
+
+std::vector<ListedPeer> PeerExchange::SilentListedPeers(core::Duration limit) const {
+  std::vector<ListedPeer> silent;
+  const auto now = this->state.clock.now();
+  for (const auto& [name, peer] : this->addresses) {
+    if (this->IsLargeFleet() && peer.domain != this->state.settings.domain) continue;
+    if (peer.listed && now - peer.heard_at >= limit) silent.push_back({name, peer.row_version});
+  }
+  return silent;
+}
+
+void PeerExchange::PostponeSilence(const std::string& name) {
+  const auto found = this->addresses.find(name);
+  if (found != this->addresses.end()) found->second.heard_at = this->state.clock.now();
+}
+
 void PeerExchange::SetKey(const std::string& secret) {
   if (secret == this->key_secret) return;
   auto created = wire::FleetKey::Create(secret);
@@ -183,6 +209,7 @@
   }
   if (report.value().sender == this->state.settings.ip) return;
   this->received.Add();
+  this->PostponeSilence(report.value().sender);
   if (report.value().is_partial) {
     if (this->on_partial_report) this->on_partial_report(std::move(report.value()));
     return;
@@ -191,7 +218,7 @@
   if (!relayed) {
     // The sender's row in the store may not have been read yet.
     this->addresses.try_emplace(report.value().sender,
-                                PeerAddress{sender, report.value().domain, false});
+                                PeerAddress{.endpoint = sender, .domain = report.value().domain});
     if (this->IsLargeFleet() && report.value().domain != this->state.settings.domain) {
       this->SendToOwnDomain(datagram);
     }
--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -10,8 +10,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libraries/core/result.h"
 #include "libraries/wire/fleet_keys.h"
@@ -26,6 +28,16 @@
   /// True if the router has a row in the store. Otherwise it is known by its reports only and is
   /// forgotten when they stop.
   bool listed = false;
+  /// Version of that row.
+  std::uint64_t row_version = 0;
+  /// When a report of the router arrived last or its row was read as new.
+  core::TimePoint heard_at{};
+};
+
+/// A router that has a row in the store.
+struct ListedPeer {
+  std::string name;
+  std::uint64_t row_version = 0;
 };
 
 /// Sends reports about this router to the other routers over UDP and receives theirs. The reported
@@ -50,10 +62,18 @@
   void Start();
   /// "ip:port" of this router's socket, for its row in the store.
   std::string address() const;
-  /// Adds or replaces a router that has a row in the store. A malformed address is logged and
-  /// ignored.
-  void SetPeer(const std::string& name, std::string_view address, std::string_view domain);
+  /// Adds or replaces a router that has a row in the store, at the given version. A malformed
+  /// address is logged and ignored.
+  void SetPeer(const std::string& name, std::string_view address, std::string_view domain,
+               std::uint64_t row_version);
   void RemovePeer(const std::string& name);
+  /// Removes all routers that were listed and are not in `names`.
+  void RemovePeersExcept(const std::set<std::string, std::less<>>& names);
+  /// Returns the listed routers that were not heard of for `limit`: those of this failure domain if
+  /// the fleet is large, whose routers hear little of the others, or else all.
+  std::vector<ListedPeer> SilentListedPeers(core::Duration limit) const;
+  /// Begins the time of silence of a router anew.
+  void PostponeSilence(const std::string& name);
   /// Sends the next report as soon as the shortest period between reports allows.
   void ReportSoon();
   /// Sends a partial report to one router; its sender and sequence number are set here. Returns
--- a/services/pomelospar_edge/request_placement.cc
+++ b/services/pomelospar_edge/request_placement.cc
@@ -74,6 +74,7 @@
 }
 
 bool RequestSession::AllRunnersEvacuated() const {
+  if (this->state.evacuations.domains.empty()) return false;
   const auto found = this->state.runners_by_upstream.find(this->upstream->name);
   return found != this->state.runners_by_upstream.end() &&
          std::all_of(found->second.begin(), found->second.end(),
@@ -203,11 +204,12 @@
   auto placement = dispatch::PlaceAtEngine(speed, options, request);
   if (!placement) return false;
   this->CountLeaving(placement->domain);
-  this->cache_source.clear();
+  this->cache_source.reset();
   if (const auto copy =
           dispatch::PlanCacheCopy(speed, options, placement->option, request.prompt_tokens,
                                   limits.cache_copy_tokens_per_ms)) {
-    this->cache_source = candidates[copy->source]->record.address;
+    this->cache_source = candidates[copy->source]->shared_from_this();
+    this->cache_source_started_unix_ms = this->cache_source->record.started_unix_ms;
     placement->prefill_tokens = std::max(placement->prefill_tokens - copy->tokens, 1.0);
     placement->first_event_ms -= copy->saved_ms;
   }
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -210,7 +210,9 @@
   Waiter waiter;
   waiter.context = this->admission_context;
   waiter.try_place = [this, timer = this->wait_timer] {
-    if (!this->IsRefusedAsSuspect() && !this->TryPlace()) return false;
+    if (!this->IsRefusedAsSuspect() && !this->AllRunnersEvacuated() && !this->TryPlace()) {
+      return false;
+    }
     timer->cancel();
     return true;
   };
@@ -230,9 +232,8 @@
       this->admission_context.until_within_share > until - this->state.clock.now();
   const auto until_rested = this->TimeUntilRested();
   const bool all_rest = until_rested > until - this->state.clock.now();
-  const bool all_evacuated = this->AllRunnersEvacuated();
   bool is_confirmed = false;
-  while (!is_confirmed && !is_beyond_share && !all_rest && !all_evacuated) {
+  while (!is_confirmed && !is_beyond_share && !all_rest && !this->AllRunnersEvacuated()) {
     if (!this->TryPlace() && this->state.clock.now() < until) {
       co_await this->WaitInQueue(until);
     }
@@ -265,7 +266,8 @@
     if (!is_beyond_share) this->engine_rejections = this->CountRejections();
     auto refusal = this->NoCapacityRefusal();
     if (is_beyond_share) refusal.reason = "the workspace is beyond its share";
-    if (all_evacuated) refusal.reason = "all runners are in evacuated failure domains";
+    if (this->AllRunnersEvacuated())
+      refusal.reason = "all runners are in evacuated failure domains";
     if (all_rest) {
       refusal.reason = "all runners asked for rest";
       refusal.retry_after = std::max(refusal.retry_after, until_rested);
@@ -439,7 +441,8 @@
        {"proposals", std::uint64_t{this->proposals}},
        {"share_use", this->admission_context.share_use},
        {"cached_tokens", this->cached_tokens},
-       {"cache_source", this->cache_source},
+       {"cache_source",
+        this->cache_source ? std::string_view(this->cache_source->record.address) : ""},
        {"prompt_tokens", this->facts.prompt.input_tokens},
        {"returning", this->admission_context.is_caller_retry},
        {"patience_ms",
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -119,6 +119,8 @@
   // One attempt, in runner_attempt.cc.
   boost::asio::awaitable<AttemptEnd> Attempt();
   boost::asio::awaitable<AttemptEnd> Exchange(http::UpstreamConnection& connection);
+  /// True if the source of the planned cache copy can still be used.
+  bool MayCopyFromCacheSource() const;
   boost::asio::awaitable<core::Result<http::ResponseHead>> ReadMatchingHead(
       http::UpstreamConnection& connection);
   PendingSend DescribeSend(const http::UpstreamConnection& connection) const;
@@ -203,8 +205,10 @@
   double predicted_ms = 0.0;
   double queue_ms = 0.0;
   double cached_tokens = 0.0;
-  /// "ip:port" of the runner from whose prefix cache the chosen one copies; empty if it does not.
-  std::string cache_source;
+  /// The runner from whose prefix cache the chosen one copies, and the run in which it had the
+  /// prefix; null if it does not copy.
+  std::shared_ptr<Runner> cache_source;
+  std::int64_t cache_source_started_unix_ms = 0;
   double queue_limit_ms = 0.0;
   dispatch::EngineRejections engine_rejections;
   /// True after the request was told to end, at its deadline or for a stop.
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -84,11 +84,16 @@
 }
 
 void ObserveCold(RouterState& state, Runner& runner, std::string_view reason) {
+  const auto* upstream = FindUpstream(state, runner);
+  if (upstream != nullptr) ObserveCold(state, runner, upstream->cold_start, reason);
+}
+
+void ObserveCold(RouterState& state, Runner& runner, core::Duration left, std::string_view reason) {
   const auto* upstream = FindUpstream(state, runner);
   if (upstream == nullptr || upstream->cold_starts_per_second <= 0.0) return;
   const bool was_cold = IsCold(state, runner);
-  dispatch::ObserveCold(runner.cold, state.clock.now(), upstream->cold_start);
-  if (!was_cold) LogCold(state, runner, reason);
+  dispatch::ObserveCold(runner.cold, state.clock.now(), left);
+  if (!was_cold && IsCold(state, runner)) LogCold(state, runner, reason);
 }
 
 void TellCold(RouterState& state, Runner& runner, core::Duration left, std::string_view source) {
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -62,6 +62,8 @@
   dispatch::RunnerHealth health;
   dispatch::RunnerNotices notices;
   dispatch::ColdState cold;
+  /// Version of the runner's row in the store; 0 before this router has read it.
+  std::uint64_t entry_version = 0;
   /// Prompt prefixes that the runner's engine probably has in its cache.
   dispatch::PrefixRecord prefixes;
   /// Set while the runner's entry is missing after an outage of the store: the runner is removed at
@@ -217,6 +219,8 @@
 /// Records that the runner has probably just started. Does nothing if the runners of its upstream
 /// are never cold.
 void ObserveCold(RouterState& state, Runner& runner, std::string_view reason);
+/// The same if it is known how long the runner stays cold.
+void ObserveCold(RouterState& state, Runner& runner, core::Duration left, std::string_view reason);
 
 /// Records that the runner is cold for `left` according to `source`: its entry or another router.
 void TellCold(RouterState& state, Runner& runner, core::Duration left, std::string_view source);
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -29,6 +29,8 @@
 // A runner accepts a connection within a few milliseconds; one that does not answer is given up
 // after this time.
 constexpr core::Duration kConnectTimeout = milliseconds(300);
+// A timeout that is noticed later than this was delayed by this process.
+constexpr core::Duration kMaxTimeoutLateness = milliseconds(50);
 // Limit of the responses to earlier requests that are skipped on one connection.
 constexpr unsigned kMaxStrayResponses = 2;
 // A response body may be larger than the limit of request bodies by this.
@@ -158,12 +160,17 @@
 asio::awaitable<AttemptEnd> RequestSession::Attempt() {
   auto& runner = this->reservation->runner();
   this->tried.push_back(runner.record.id);
-  auto acquired = co_await this->pool.Acquire(
-      runner.record.address, std::min(kConnectTimeout, this->TimeLeft()), this->used_connections);
+  const auto connect_timeout = std::min(kConnectTimeout, this->TimeLeft());
+  const auto connect_until = this->state.clock.now() + connect_timeout;
+  auto acquired =
+      co_await this->pool.Acquire(runner.record.address, connect_timeout, this->used_connections);
   if (!acquired) {
     this->failure = acquired.error().message;
     runner.health.OnUnreachable(this->state.clock.now());
-    ObserveCold(this->state, runner, "unreachable");
+    // After a pause of this process the timeout says nothing about the runner.
+    const bool was_paused = core::Is(acquired.error(), core::ErrorKind::kTimeout) &&
+                            this->state.clock.now() - connect_until > kMaxTimeoutLateness;
+    if (!was_paused) ObserveCold(this->state, runner, "unreachable");
     ++this->unsent_attempts;
     this->state.log.Write(LogLevel::kWarning, "runner_unreachable",
                           {{"request", this->facts.attempt_id},
@@ -216,13 +223,21 @@
   co_return end;
 }
 
+// The source was chosen before the placement was confirmed and the connection was opened.
+bool RequestSession::MayCopyFromCacheSource() const {
+  if (!this->cache_source) return false;
+  const auto& source = *this->cache_source;
+  return source.record.started_unix_ms == this->cache_source_started_unix_ms &&
+         AcceptsNewRequests(this->state, source) && !IsCold(this->state, source);
+}
+
 asio::awaitable<AttemptEnd> RequestSession::Exchange(http::UpstreamConnection& connection) {
   auto& runner = this->reservation->runner();
   adapter::ForwardOptions options;
   options.runner_id = runner.record.id;
   options.workspace = this->workspace;
   options.time_left = this->TimeLeft();
-  options.cache_source = this->cache_source;
+  if (this->MayCopyFromCacheSource()) options.cache_source = this->cache_source->record.address;
   if (this->stream_started) options.resume_after = this->splitter.last_id();
   this->splitter.DropRest();
   const auto request = adapter::EncodeForward(this->exchange.request(), options);
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -69,6 +69,12 @@
 // exchange reports within 3 s. Each router of the fleet may propose, so that a shorter pause would
 // add to the load of a failing store.
 constexpr core::Duration kKeyProposalPause = milliseconds(2000);
+// Longest pause after a failed call that adds or removes this router's row.
+constexpr core::Duration kRegistrationPause = milliseconds(1000);
+// A router that was not heard of for this time has ended without removing its row, which would
+// count it among the routers of its domain for ever. If it lives, it adds its row again. Longer
+// than the cuts between routers that are expected.
+constexpr core::Duration kSilentRouterTime = std::chrono::seconds(60);
 // Entries that lapsed during an outage of the store come back within about two seconds of its end.
 constexpr core::Duration kRunnerReturnTime = milliseconds(1700);
 
@@ -226,15 +232,18 @@
 
 void StoreSync::ApplyEvacuations(const adapter::StoreRows& rows, bool whole) {
   std::vector<dispatch::EvacuationRow> evacuations;
-  for (const auto& row : rows.rows) {
-    if (!row.key.starts_with(adapter::kEvacuationPrefix)) continue;
-    auto domain = row.key.substr(adapter::kEvacuationPrefix.size());
+  const auto add = [&](const std::string& key, bool removed) {
+    if (!key.starts_with(adapter::kEvacuationPrefix)) return;
+    auto domain = key.substr(adapter::kEvacuationPrefix.size());
     if (!dispatch::IsValidDomainName(domain)) {
-      this->router.log.Write(LogLevel::kWarning, "evacuation_malformed", {{"key", row.key}});
-      continue;
+      this->router.log.Write(LogLevel::kWarning, "evacuation_malformed", {{"key", key}});
+      return;
     }
-    evacuations.push_back({std::move(domain), row.removed});
-  }
+    evacuations.push_back({std::move(domain), removed});
+  };
+  for (const auto& row : rows.rows) add(row.key, row.removed);
+  // The presence of the row requests the evacuation, whatever its value is.
+  for (const auto& key : rows.unreadable_keys) add(key, false);
   const auto known = this->router.evacuations;
   AdoptEvacuations(this->router, dispatch::AfterRows(known, evacuations, whole, rows.version),
                    "store");
@@ -292,7 +301,9 @@
   dispatch::DirectoryChange step;
   step.before = this->directory.state();
   const auto apply = [&](dispatch::RunnerChange change) {
-    if (this->ApplyRunner(change, "store")) step.entries.push_back(std::move(change));
+    const bool is_new = this->ApplyRunner(change, "store");
+    if (is_new) step.entries.push_back(std::move(change));
+    return is_new;
   };
   if (whole) {
     std::set<std::string> listed;
@@ -304,7 +315,10 @@
     }
     for (const auto& id : lapsed) this->OnRunnerMissing(id);
   }
-  for (const auto& row : rows.rows) apply(this->DecodeRunnerRow(row));
+  for (const auto& row : rows.rows) {
+    const bool is_changed = apply(this->DecodeRunnerRow(row));
+    this->RecordEntryVersion(row, is_changed);
+  }
   IndexRunners(this->router);
   this->router.runners_loaded = true;
   step.after = this->directory.state();
@@ -352,6 +366,18 @@
   return is_new;
 }
 
+// A runner that becomes cold again may write its entry anew without any difference. The other
+// routers are not told of such a write, so this one reports that the runner is cold.
+void StoreSync::RecordEntryVersion(const adapter::StoreRow& row, bool is_changed) {
+  const auto found = this->router.runners.find(row.key);
+  if (found == this->router.runners.end() || row.version <= found->second->entry_version) return;
+  auto& runner = *found->second;
+  const bool is_known = std::exchange(runner.entry_version, row.version) != 0;
+  if (is_known && !is_changed && runner.record.cold_left_ms > 0) {
+    ObserveCold(this->router, runner, milliseconds(runner.record.cold_left_ms), "entry_written");
+  }
+}
+
 void StoreSync::OnRunnerMissing(const std::string& id) {
   const auto found = this->router.runners.find(id);
   if (found == this->router.runners.end()) return;
@@ -389,7 +415,10 @@
 }
 
 void StoreSync::ApplyRouters(const adapter::StoreRows& rows, bool whole) {
-  if (whole) this->key_is_stored = false;
+  if (whole) {
+    this->key_is_stored = false;
+    this->RemoveUnlistedRouters(rows);
+  }
   bool key_removed = false;
   for (const auto& row : rows.rows) {
     if (row.key == kKeyRow) {
@@ -400,13 +429,16 @@
     }
     if (!row.key.starts_with(kRouterRowPrefix)) continue;
     const auto name = row.key.substr(kRouterRowPrefix.size());
-    if (name == this->router.settings.ip) continue;
+    if (name == this->router.settings.ip) {
+      if (row.removed) this->RegisterAgain();
+      continue;
+    }
     const auto entry = row.removed ? std::nullopt : DecodeRouterRow(row.value);
     if (!entry) {
       this->peers.RemovePeer(name);
       continue;
     }
-    this->peers.SetPeer(name, entry->address, entry->domain);
+    this->peers.SetPeer(name, entry->address, entry->domain, row.version);
   }
   if (!this->peers.has_key()) {
     this->router_watch.pause = kRouterPauseWithoutKey;
@@ -423,6 +455,52 @@
   }
 }
 
+void StoreSync::RemoveUnlistedRouters(const adapter::StoreRows& rows) {
+  std::set<std::string, std::less<>> listed;
+  for (const auto& row : rows.rows) {
+    if (row.key.starts_with(kRouterRowPrefix) && !row.removed) {
+      listed.insert(row.key.substr(kRouterRowPrefix.size()));
+    }
+  }
+  this->peers.RemovePeersExcept(listed);
+  if (!listed.contains(this->router.settings.ip)) this->RegisterAgain();
+}
+
+void StoreSync::RegisterAgain() {
+  // The first registration may still be on its way.
+  if (!this->is_registered || this->router.stop) return;
+  this->is_registered = false;
+  this->router.log.Write(LogLevel::kInfo, "row_removed", {});
+  asio::co_spawn(this->router.io, this->Register(), asio::detached);
+}
+
+void StoreSync::RemoveSilentRouters() {
+  if (this->is_removing_silent || this->router_watch.failing || !this->is_registered) return;
+  if (this->router.stop || !this->is_store_poller.value_or(false)) return;
+  auto silent = this->peers.SilentListedPeers(kSilentRouterTime);
+  if (silent.empty()) return;
+  this->is_removing_silent = true;
+  asio::co_spawn(this->router.io, this->RemoveRows(std::move(silent)), asio::detached);
+}
+
+// Each row is removed only if it is still the one that this router knows.
+asio::awaitable<void> StoreSync::RemoveRows(std::vector<ListedPeer> silent) {
+  for (const auto& peer : silent) {
+    adapter::ConditionalWrite write = {
+        .table = std::string(kFleetTable),
+        .key = std::string(kRouterRowPrefix) + peer.name,
+        .remove = true,
+        .expected_version = static_cast<std::int64_t>(peer.row_version)};
+    const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
+    this->router.log.Write(
+        LogLevel::kInfo, "silent_router_removed",
+        {{"router", peer.name}, {"error", written ? std::string() : written.error().message}});
+    // The next attempt comes after another such time of silence.
+    this->peers.PostponeSilence(peer.name);
+  }
+  this->is_removing_silent = false;
+}
+
 asio::awaitable<void> StoreSync::ProposeKey() {
   asio::steady_timer timer(this->router.io);
   const adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
@@ -456,21 +534,28 @@
         .key = std::string(kRouterRowPrefix) + this->router.settings.ip,
         .value = row.dump()};
     const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
-    if (written) break;
-    timer.expires_after(this->Jitter(milliseconds(1000)));
+    if (written) {
+      this->is_registered = true;
+      break;
+    }
+    timer.expires_after(this->Jitter(kRegistrationPause));
     co_await timer.async_wait(kTuple);
   }
 }
 
 asio::awaitable<void> StoreSync::Unregister() {
-  adapter::ConditionalWrite write = {
-      .table = std::string(kFleetTable),
-      .key = std::string(kRouterRowPrefix) + this->router.settings.ip,
-      .remove = true};
-  const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
-  if (!written) {
+  asio::steady_timer timer(this->router.io);
+  while (true) {
+    adapter::ConditionalWrite write = {
+        .table = std::string(kFleetTable),
+        .key = std::string(kRouterRowPrefix) + this->router.settings.ip,
+        .remove = true};
+    const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
+    if (written) break;
     this->router.log.Write(LogLevel::kInfo, "unregister_failed",
                            {{"error", written.error().message}});
+    timer.expires_after(this->Jitter(kRegistrationPause));
+    co_await timer.async_wait(kTuple);
   }
 }
 
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libraries/dispatch/remote_clock.h"
 #include "libraries/dispatch/runner_directory.h"
@@ -31,8 +32,12 @@
 
   /// Starts to watch the tables of the store and adds this router's row.
   void Start();
-  /// Removes this router's row, so that the others no longer send reports to it.
+  /// Removes this router's row, so that the others no longer send reports to it. Repeats the call
+  /// until it succeeds or the process ends.
   boost::asio::awaitable<void> Unregister();
+  /// Removes the rows of routers that ended without doing so. Call a few times a second; only the
+  /// router that queries the store for the others does anything.
+  void RemoveSilentRouters();
   /// Removes runners whose entries went missing in an outage of the store and did not come back in
   /// time. Call a few times a second.
   void RemoveLapsedRunners();
@@ -114,7 +119,14 @@
   /// Call when the runner's entry is missing. Removes the runner at once, or with a delay soon
   /// after an outage of the store.
   void OnRunnerMissing(const std::string& id);
+  /// Records the version of a runner's entry after the entry was applied. `is_changed` is false if
+  /// it was written without a change.
+  void RecordEntryVersion(const adapter::StoreRow& row, bool is_changed);
   void ApplyRouters(const adapter::StoreRows& rows, bool whole);
+  void RemoveUnlistedRouters(const adapter::StoreRows& rows);
+  /// Adds this router's row again after it was removed by another router or lost by the store.
+  void RegisterAgain();
+  boost::asio::awaitable<void> RemoveRows(std::vector<ListedPeer> silent);
   /// Pseudo-random time of at least half of `longest` and less than `longest`.
   core::Duration Jitter(core::Duration longest);
 
@@ -136,6 +148,10 @@
   core::TimePoint peer_discovery_end{};
   /// True if this router queries the store permanently; unset until its rank is first computed.
   std::optional<bool> is_store_poller;
+  /// True from the time at which this router has written its row until it learns of its removal.
+  bool is_registered = false;
+  /// True while `RemoveRows` runs.
+  bool is_removing_silent = false;
   /// True if the store holds a key for reports, as far as this router has read.
   bool key_is_stored = false;
   /// True while `ProposeKey` runs.
--- a/tests/libraries/dispatch/cold_runners_test.cc
+++ b/tests/libraries/dispatch/cold_runners_test.cc
@@ -46,6 +46,21 @@
   EXPECT_EQ(ColdStartRate(0.0, 1.5, 5.0), 0.0);
 }
 
+// Guards against runners that tolerate less than one start a second and would never get any.
+TEST(ColdStartsTest, GrantsOneStartInTheTimeOfALowRate) {
+  core::ManualClock clock;
+  ColdStarts starts;
+  EXPECT_FALSE(starts.TryGrant(clock.now(), 0.0));
+  EXPECT_TRUE(starts.TryGrant(clock.now(), 0.25));
+  clock.Advance(milliseconds(3999));
+  EXPECT_FALSE(starts.TryGrant(clock.now(), 0.25));
+  EXPECT_FALSE(starts.IsIdle(clock.now()));
+  clock.Advance(milliseconds(1));
+  EXPECT_TRUE(starts.TryGrant(clock.now(), 0.25));
+  clock.Advance(seconds(4));
+  EXPECT_TRUE(starts.IsIdle(clock.now()));
+}
+
 TEST(ColdStartsTest, NeitherAStartedRouterNorASmallPartOfADomainGrants) {
   EXPECT_FALSE(MayGrantColdStarts(25, 25, milliseconds(1999)));
   EXPECT_TRUE(MayGrantColdStarts(13, 25, seconds(2)));
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -154,6 +154,8 @@
   EXPECT_TRUE(rows.value().rows[1].removed);
   EXPECT_EQ(rows.value().version, 12U);
   EXPECT_EQ(rows.value().malformed_rows, 2U);
+  // The row exists all the same, which is enough to request an evacuation.
+  EXPECT_EQ(rows.value().unreadable_keys, std::vector<std::string>{"b"});
   EXPECT_EQ(rows.value().stamp, std::chrono::seconds(7));
   EXPECT_TRUE(has_more);
 }
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -333,6 +333,33 @@
   EXPECT_DOUBLE_EQ(state.share_level, 1500.0);
 }
 
+// Guards against a failure domain whose cold runners get nothing, because more than half of the
+// listed routers ended without removing their rows.
+TEST(PeerExchangeTest, FindsListedRoutersThatAreSilent) {
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::BufferedLog log(-1, clock.clock());
+  adapter::InstanceSettings settings;
+  settings.ip = "127.0.0.1";
+  settings.domain = "a";
+  RouterState state(io, clock.clock(), settings, log);
+  auto created = PeerExchange::Create(state);
+  ASSERT_TRUE(created.has_value());
+  auto& peers = *created.value();
+  const auto limit = std::chrono::seconds(60);
+  peers.SetPeer("127.0.0.2", "127.0.0.2:7000", "a", 5);
+  EXPECT_EQ(peers.ListedInDomain(), 2U);
+  clock.Advance(limit);
+  // Reading the same row again is no sign of life.
+  peers.SetPeer("127.0.0.2", "127.0.0.2:7000", "a", 5);
+  ASSERT_EQ(peers.SilentListedPeers(limit).size(), 1U);
+  EXPECT_EQ(peers.SilentListedPeers(limit)[0].row_version, 5U);
+  peers.SetPeer("127.0.0.2", "127.0.0.2:7000", "a", 6);
+  EXPECT_TRUE(peers.SilentListedPeers(limit).empty());
+  peers.RemovePeersExcept({});
+  EXPECT_EQ(peers.ListedInDomain(), 1U);
+}
+
 // While a router is busy, an iteration of its event loop takes so long that many reports arrive.
 // Guards against a reply or news of a draining runner that waits behind them for as many
 // iterations.
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -143,6 +143,29 @@
         for runner in (started, self.away[1]):
             self.assertLessEqual(self.most_in_one_second(runner, since), COLD_BOUND, runner.identifier)
 
+    # Guards against a runner that becomes cold again and is taken for warm, because its entry is written anew
+    # with the same content.
+    def test_an_entry_that_is_written_again_starts_the_cold_time_again(self):
+        runner = self.home[1]
+        runner.cold_left_ms = 1000
+        self.platform.put("servers", runner.identifier, runner.entry())
+        self.assertTrue(until(lambda: self.cold_lines(self.router, runner), 2))
+        time.sleep(1.5)
+        self.platform.put("servers", runner.identifier, runner.entry())
+        self.assertTrue(until(lambda: len(self.cold_lines(self.router, runner)) == 2, 2))
+
+    # Guards against a router that is missing among the listed routers for ever after its row was removed.
+    def test_a_router_adds_its_row_again(self):
+        row = ("pomelospar", "router/127.0.0.1")
+
+        def is_listed():
+            return self.platform.store.rows.get(row, (None, 0))[0] is not None
+
+        self.assertTrue(until(is_listed, 5))
+        self.platform.remove(*row)
+        self.assertFalse(is_listed())
+        self.assertTrue(until(is_listed, 25))
+
     # Guards against a runner that gets full traffic because its entry names a new run without the time for
     # which it is cold, although its domain was taken back just before.
     def test_a_new_run_does_not_end_the_time_after_an_evacuation(self):
