Edge, Dispatch: Ration the trials of a crashing request over the fleet

Causes: - The router's retry and the caller's repeat went out before the crash counted, which is known 20 ms and a probe later. - Crashes within 250 ms were one moment, however the request got to the runners, so nine runners fell before the third moment. - A trial was due at each router that had not heard of another's. - A suspect with 16 crashes ignored later ones, also their time.

Now the subject's coordinator grants each trial, by the exchange that cold starts use; a crash under a whole request that was sent after the crash before is a moment of its own, which a victim of one event cannot have; a request under which runners crashed before is retried only when it is known whether its runner crashed; and a crash of a known moment yields to one of a new moment.

CountsCrashesUnderRetriesOfOneRequest and CountsEachMomentAfterManyCrashesOfOne are new, SendsRareTrials and the replays (7 and 81 routers) use the grants and keep their bounds.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -33,16 +33,17 @@
 // A subject that was answered at this router so recently is not reported to the others.
 constexpr core::Duration kAnsweredJustNow = seconds(2);
 constexpr core::Duration kAcquittalPeriod = milliseconds(300);
+// Time without a crash after which one request with the subject is sent as a trial, by the number
+// of trials that failed. The users bear three requests with a part that is known to crash runners.
+constexpr std::array<core::Duration, 3> kTrialDelays = {seconds(5), minutes(1), minutes(10)};
 // A quarantine told by another router holds for this long after it was last told.
 constexpr core::Duration kToldRetention = seconds(10);
 // A router that only knows a quarantine from others passes it on if it has itself refused a request
 // within this time; otherwise the routers would tell it each other without end.
 constexpr core::Duration kTellAfterRefusal = seconds(30);
-// Time without a crash after which one request with the subject is sent as a trial, by the number
-// of trials that failed. The users bear three requests with a part that is known to crash runners.
-constexpr std::array<core::Duration, 3> kTrialDelays = {seconds(5), minutes(1), minutes(10)};
-// Longer than a report takes to reach the other routers.
-constexpr core::Duration kTrialStep = milliseconds(500);
+// Time for which the coordinator is not asked again after it did not grant a trial, so that a flood
+// of such requests is refused without a round trip for each.
+constexpr core::Duration kTrialDeferral = milliseconds(500);
 // Requests that were sent before the quarantine crash their runners within this time; a later crash
 // is that of a trial.
 constexpr core::Duration kCrashesInFlight = seconds(2);
@@ -70,15 +71,27 @@
 
 void CrashSuspects::RecordLocalCrash(core::TimePoint now, std::uint64_t crash,
                                      std::span<const std::uint64_t> subjects) {
-  for (const auto subject : subjects) {
-    this->RecordCrash(now, {.subject = subject, .crash = crash});
+  LocalCrash local = {.crash = crash, .at = now};
+  for (const auto subject : subjects) local.subjects.push_back({.subject = subject});
+  this->RecordLocalCrash(now, local);
+}
+
+void CrashSuspects::RecordLocalCrash(core::TimePoint now, const LocalCrash& crash) {
+  for (const auto& [subject, sent_at] : crash.subjects) {
+    std::optional<core::Duration> in_progress;
+    if (sent_at) in_progress = crash.at - *sent_at;
+    this->RecordCrash(now, {.subject = subject,
+                            .crash = crash.crash,
+                            .age = now - crash.at,
+                            .in_progress = in_progress});
     const auto answered = this->answers.Find(subject);
     if (answered && now - *answered < kAnsweredJustNow) continue;
     if (this->pending_suspicions.size() >= kMaxPendingSuspicions) {
       ++this->dropped_suspicions;
       continue;
     }
-    this->pending_suspicions.push_back({subject, crash, now, kReportsPerNews});
+    this->pending_suspicions.push_back(
+        {subject, crash.crash, crash.at, in_progress, kReportsPerNews});
   }
   this->FindWorst();
 }
@@ -99,13 +112,33 @@
   const bool known =
       std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
                   [&](const Crash& crash) { return crash.identifier == suspicion.crash; });
-  if (known || suspect.crashes.size() >= kMaxCrashesPerSuspect) return;
-  const auto position = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
-                                     [&](const Crash& crash) { return crash.at > *at; });
-  suspect.crashes.insert(position, {suspicion.crash, *at});
+  if (known) return;
+  Crash crash = {.identifier = suspicion.crash, .at = *at};
+  if (suspicion.in_progress) crash.sent_at = *at - *suspicion.in_progress;
+  InsertCrash(suspect, crash);
   suspect.last = std::max(suspect.last, *at);
 }
 
+void CrashSuspects::InsertCrash(Suspect& suspect, const Crash& crash) {
+  auto& crashes = suspect.crashes;
+  if (crashes.size() >= kMaxCrashesPerSuspect) {
+    // More crashes of one moment prove nothing more, but each moment counts.
+    auto dropped = std::find_if(crashes.begin(), crashes.end(), [&](const Crash& other) {
+      return std::chrono::abs(other.at - crash.at) <= kMomentLength;
+    });
+    if (dropped == crashes.end()) {
+      dropped = std::adjacent_find(crashes.begin(), crashes.end(),
+                                   [](const Crash& first, const Crash& second) {
+                                     return second.at - first.at <= kMomentLength;
+                                   });
+    }
+    crashes.erase(dropped == crashes.end() ? crashes.begin() : dropped);
+  }
+  const auto position = std::find_if(crashes.begin(), crashes.end(),
+                                     [&](const Crash& other) { return other.at > crash.at; });
+  crashes.insert(position, crash);
+}
+
 bool CrashSuspects::MakeRoom(core::TimePoint now) {
   if (this->suspects.size() < kMaxSuspects) return true;
   if (now - this->last_cleanup < kCleanupPeriod) return false;
@@ -199,10 +232,13 @@
                                      bool only_unexplained) const {
   unsigned moments = 0;
   std::optional<core::TimePoint> begin;
+  std::optional<core::TimePoint> latest;
   for (const auto& crash : suspect.crashes) {
-    if (begin && crash.at - *begin <= kMomentLength) continue;
+    const bool is_retry = crash.sent_at && latest && *crash.sent_at >= *latest;
+    if (begin && crash.at - *begin <= kMomentLength && !is_retry) continue;
     if (only_unexplained && this->IsExplained(subject, suspect, crash)) continue;
     begin = crash.at;
+    latest = crash.at;
     ++moments;
   }
   return moments;
@@ -245,15 +281,20 @@
   return found != this->suspects.end() && this->IsConvicted(now, subject, found->second);
 }
 
-SuspectVerdict CrashSuspects::VerdictFor(core::TimePoint now, std::uint64_t subject,
-                                         std::size_t rank) const {
+SuspectVerdict CrashSuspects::VerdictFor(core::TimePoint now, std::uint64_t subject) const {
   if (!this->IsInQuarantine(now, subject)) return SuspectVerdict::kAllowed;
   const auto& suspect = this->suspects.at(subject);
-  const auto due = suspect.last + TrialDelay(FailedTrials(suspect)) +
-                   kTrialStep * static_cast<std::int64_t>(rank);
+  const auto due =
+      std::max(suspect.last + TrialDelay(FailedTrials(suspect)), suspect.trial_deferred_until);
   return now >= due ? SuspectVerdict::kTrial : SuspectVerdict::kRefused;
 }
 
+bool CrashSuspects::TryGrantTrial(core::TimePoint now, std::uint64_t subject) {
+  if (this->VerdictFor(now, subject) != SuspectVerdict::kTrial) return false;
+  this->BeginTrial(now, subject);
+  return true;
+}
+
 std::uint64_t CrashSuspects::CrashesOf(std::uint64_t subject) const {
   const auto found = this->suspects.find(subject);
   return found == this->suspects.end() ? 0 : found->second.crashes.size();
@@ -264,6 +305,11 @@
   if (found != this->suspects.end()) found->second.last = now;
 }
 
+void CrashSuspects::DeferTrial(core::TimePoint now, std::uint64_t subject) {
+  const auto found = this->suspects.find(subject);
+  if (found != this->suspects.end()) found->second.trial_deferred_until = now + kTrialDeferral;
+}
+
 void CrashSuspects::OnRefused(core::TimePoint now, std::uint64_t subject) {
   const auto found = this->suspects.find(subject);
   if (found != this->suspects.end()) found->second.last_refused = now;
@@ -274,7 +320,8 @@
   const auto suspicions = std::min(this->pending_suspicions.size(), kMaxSuspicionsPerReport);
   for (std::size_t index = 0; index < suspicions; ++index) {
     auto& pending = this->pending_suspicions[index];
-    news.suspicions.push_back({pending.subject, pending.crash, now - pending.crashed_at});
+    news.suspicions.push_back(
+        {pending.subject, pending.crash, now - pending.crashed_at, pending.in_progress});
     --pending.sends_left;
   }
   // If not all fit, the others come first next time.
--- a/libraries/dispatch/crash_suspects.h
+++ b/libraries/dispatch/crash_suspects.h
@@ -23,6 +23,21 @@
   std::uint64_t crash = 0;
   /// Time since the crash.
   core::Duration age{};
+  /// How long the subject had been in progress on the runner, if it was a whole request.
+  std::optional<core::Duration> in_progress;
+};
+
+/// A crash that this router observed.
+struct LocalCrash {
+  struct Subject {
+    std::uint64_t subject = 0;
+    /// When the earliest request with the subject was sent to the runner; set for whole requests.
+    std::optional<core::TimePoint> sent_at;
+  };
+  std::uint64_t crash = 0;
+  /// When the connections to the runner broke.
+  core::TimePoint at;
+  std::vector<Subject> subjects;
 };
 
 /// States that a runner answered a request with the subject completely.
@@ -52,8 +67,8 @@
 /// Whether a request with a subject may be sent to a runner.
 enum class SuspectVerdict {
   kAllowed,
-  /// The subject is in quarantine, and this router may send one request to find out whether it
-  /// still is a danger; call `CrashSuspects::BeginTrial` before.
+  /// The subject is in quarantine, and one router of the fleet may send one request to find out
+  /// whether it still is a danger, if the subject's coordinator grants it.
   kTrial,
   kRefused,
 };
@@ -84,7 +99,9 @@
   /// only as long as all runners fail.
   static constexpr unsigned kCrashMomentsAfterAnswers = 6;
   /// Crashes within this time are one moment: a failure domain, a rack or a release that ends many
-  /// runners at once is one event.
+  /// runners at once is one event. A whole request that was sent to a runner only after the crash
+  /// before, as a retry is, was no victim of the same event there, so such a crash is a moment of
+  /// its own.
   static constexpr core::Duration kMomentLength = std::chrono::milliseconds(250);
   /// A crash counts for this long after the latest one of its subject.
   static constexpr core::Duration kRetention = std::chrono::minutes(2);
@@ -93,6 +110,8 @@
 
   /// Records a crash that this router observed with the subjects that were in progress, and queues
   /// it for the reports to the other routers.
+  void RecordLocalCrash(core::TimePoint now, const LocalCrash& crash);
+  /// The same for a crash at `now` of which it is not known when the subjects were sent.
   void RecordLocalCrash(core::TimePoint now, std::uint64_t crash,
                         std::span<const std::uint64_t> subjects);
   /// Records that a runner answered a request with the subjects completely.
@@ -101,12 +120,15 @@
   void Apply(core::TimePoint now, const SuspectNews& news);
 
   bool IsInQuarantine(core::TimePoint now, std::uint64_t subject) const;
-  /// Returns whether a request with the subject may be sent now. `rank` is this router's position
-  /// among the routers that may send a trial: each waits a little longer than the one before, so
-  /// that it hears of the other's trial.
-  SuspectVerdict VerdictFor(core::TimePoint now, std::uint64_t subject, std::size_t rank) const;
-  /// Call right before a request with the verdict `kTrial` is sent.
+  /// Returns whether a request with the subject may be sent now.
+  SuspectVerdict VerdictFor(core::TimePoint now, std::uint64_t subject) const;
+  /// Call at the subject's coordinator, the one router that grants its trials. Returns true if a
+  /// trial is due, and counts it as begun.
+  bool TryGrantTrial(core::TimePoint now, std::uint64_t subject);
+  /// Call when the coordinator has granted a trial, right before the request is sent.
   void BeginTrial(core::TimePoint now, std::uint64_t subject);
+  /// Call when the coordinator did not grant a trial. The subject is refused for a moment.
+  void DeferTrial(core::TimePoint now, std::uint64_t subject);
   /// Call when a request with the subject was refused.
   void OnRefused(core::TimePoint now, std::uint64_t subject);
 
@@ -127,6 +149,8 @@
   struct Crash {
     std::uint64_t identifier = 0;
     core::TimePoint at;
+    /// When the subject was sent to the runner; set for whole requests.
+    std::optional<core::TimePoint> sent_at;
   };
   struct Suspect {
     /// Crashes since the subject was last answered, in order of time.
@@ -134,6 +158,8 @@
     /// Time at which another router last told that it refuses the subject.
     std::optional<core::TimePoint> told_at;
     std::uint64_t told_failed_trials = 0;
+    /// The coordinator is not asked for a trial before this time.
+    core::TimePoint trial_deferred_until;
     /// Time of the latest crash or trial at any router.
     core::TimePoint last;
     core::TimePoint last_refused;
@@ -144,6 +170,7 @@
     std::uint64_t subject = 0;
     std::uint64_t crash = 0;
     core::TimePoint crashed_at;
+    std::optional<core::Duration> in_progress;
     unsigned sends_left = 0;
   };
   struct PendingAcquittal {
@@ -154,6 +181,8 @@
 
   /// Records a crash, whichever router observed it.
   void RecordCrash(core::TimePoint now, const Suspicion& suspicion);
+  /// Inserts a crash in order of time. At the limit it takes the place of an earlier one.
+  static void InsertCrash(Suspect& suspect, const Crash& crash);
   /// Returns false if there is no room for another suspect.
   bool MakeRoom(core::TimePoint now);
   void RecordAnswer(std::uint64_t subject, core::TimePoint at);
--- a/libraries/dispatch/engine_coordination.h
+++ b/libraries/dispatch/engine_coordination.h
@@ -28,6 +28,9 @@
   double max_active = 0.0;
   /// The engine is cold; see `ColdStarts`.
   bool is_cold_start = false;
+  /// `engine` is the subject of a quarantine, of which the coordinator grants a trial; see
+  /// `CrashSuspects::TryGrantTrial`.
+  bool is_crash_trial = false;
 };
 
 struct PlacementReply {
--- a/libraries/dispatch/peer_view.cc
+++ b/libraries/dispatch/peer_view.cc
@@ -89,14 +89,6 @@
       }));
 }
 
-std::size_t PeerView::RendezvousRankOf(std::string_view name, std::uint64_t key) const {
-  const auto own = core::CombineHashes(key, core::HashName(name));
-  return static_cast<std::size_t>(
-      std::count_if(this->reports.begin(), this->reports.end(), [&](const auto& entry) {
-        return core::CombineHashes(key, core::HashName(entry.first)) > own;
-      }));
-}
-
 EngineLoad PeerView::LoadOf(std::uint64_t runner) const {
   const auto found = this->load_sum.find(runner);
   return found == this->load_sum.end() ? EngineLoad{} : found->second;
@@ -119,6 +111,13 @@
   return names;
 }
 
+std::vector<std::string_view> PeerView::Routers() const {
+  std::vector<std::string_view> names;
+  names.reserve(this->reports.size() + 1);
+  for (const auto& [name, received] : this->reports) names.emplace_back(name);
+  return names;
+}
+
 WorkspaceUsage PeerView::UsageOf(std::uint64_t workspace) const {
   const auto found = this->usage_sum.find(workspace);
   return found == this->usage_sum.end() ? WorkspaceUsage{} : found->second;
--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -98,6 +98,8 @@
   /// Returns the names of the reporting routers of a failure domain. The views are valid until the
   /// next change of this object.
   std::vector<std::string_view> RoutersOf(std::string_view domain) const;
+  /// The same for all failure domains.
+  std::vector<std::string_view> Routers() const;
   WorkspaceUsage UsageOf(std::uint64_t workspace) const;
   const std::unordered_map<std::uint64_t, WorkspaceUsage>& usage() const { return this->usage_sum; }
   std::size_t size() const { return this->reports.size(); }
@@ -105,8 +107,6 @@
   /// Returns how many of the reporting routers precede `name` in name order. Counts only routers of
   /// the failure domain `domain` unless it is empty.
   std::size_t RankOf(std::string_view name, std::string_view domain) const;
-  /// Returns how many of the reporting routers precede `name` in the rendezvous order of `key`.
-  std::size_t RendezvousRankOf(std::string_view name, std::uint64_t key) const;
 
  private:
   struct Received {
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -218,6 +218,7 @@
 
 void Edge::UpdateSuspects() {
   for (const auto& change : this->state.suspects.Update(this->state.clock.now())) {
+    if (change.begins) this->peers->ReportSoon();
     this->log.Write(
         LogLevel::kWarning, change.begins ? "quarantine" : "quarantine_ended",
         {{"subject", fmt::format("{:x}", change.subject)}, {"crashes", change.crashes}});
--- a/services/pomelospar_edge/engine_coordinator.cc
+++ b/services/pomelospar_edge/engine_coordinator.cc
@@ -49,6 +49,9 @@
                                           dispatch::PlacementProposal proposal) {
     return this->ConfirmColdStart(std::move(runner), proposal);
   };
+  this->state.confirm_crash_trial = [this](std::uint64_t subject) {
+    return this->ConfirmCrashTrial(subject);
+  };
   this->state.confirm_placement = [this](std::shared_ptr<Runner> runner,
                                          dispatch::PlacementProposal proposal) {
     return this->Confirm(std::move(runner), proposal);
@@ -68,16 +71,16 @@
 }
 
 boost::asio::awaitable<std::optional<dispatch::PlacementReply>> EngineCoordinator::Ask(
-    const std::string& coordinator, const Runner& runner, dispatch::PlacementProposal proposal) {
+    const std::string& coordinator, dispatch::PlacementProposal proposal,
+    dispatch::EngineLoad own) {
   const auto unresponsive = this->unresponsive_until.find(coordinator);
   if (unresponsive != this->unresponsive_until.end()) {
     if (this->state.clock.now() < unresponsive->second) co_return std::nullopt;
     this->unresponsive_until.erase(unresponsive);
   }
   proposal.id = ++this->last_proposal;
-  proposal.engine = runner.key;
   dispatch::PeerReport report;
-  report.runners[runner.key] = runner.own;
+  if (!proposal.is_crash_trial) report.runners[proposal.engine] = own;
   report.proposal = proposal;
   if (!this->peers.SendPartial(coordinator, std::move(report))) co_return std::nullopt;
   const auto waiting = std::make_shared<PendingProposal>(this->state.io);
@@ -92,8 +95,7 @@
   this->pending.erase(proposal.id);
   if (!waiting->reply) {
     this->unresponsive_until[coordinator] = this->state.clock.now() + kUnresponsiveTime;
-    this->state.log.Write(LogLevel::kInfo, "coordinator_silent",
-                          {{"coordinator", coordinator}, {"runner", runner.record.id}});
+    this->state.log.Write(LogLevel::kInfo, "coordinator_silent", {{"coordinator", coordinator}});
   }
   co_return waiting->reply;
 }
@@ -103,7 +105,8 @@
   if (!this->state.is_large_fleet) co_return true;
   const auto coordinator = this->CoordinatorOf(*runner);
   if (coordinator.empty() || coordinator == this->state.settings.ip) co_return true;
-  const auto reply = co_await this->Ask(coordinator, *runner, proposal);
+  proposal.engine = runner->key;
+  const auto reply = co_await this->Ask(coordinator, proposal, runner->own);
   if (!reply) {
     this->unanswered.Add();
     co_return true;
@@ -120,8 +123,9 @@
   if (coordinator == this->state.settings.ip) {
     is_granted = this->TryGrantColdStart(*runner);
   } else if (!coordinator.empty()) {
+    proposal.engine = runner->key;
     proposal.is_cold_start = true;
-    const auto reply = co_await this->Ask(coordinator, *runner, proposal);
+    const auto reply = co_await this->Ask(coordinator, proposal, runner->own);
     if (!reply) {
       this->cold_unanswered.Add();
       co_return false;
@@ -133,6 +137,25 @@
   co_return is_granted;
 }
 
+boost::asio::awaitable<bool> EngineCoordinator::ConfirmCrashTrial(std::uint64_t subject) {
+  auto live_routers = this->state.peers.Routers();
+  live_routers.emplace_back(this->state.settings.ip);
+  const std::string coordinator(*dispatch::ChooseCoordinator(subject, live_routers));
+  auto& suspects = this->state.suspects;
+  if (coordinator == this->state.settings.ip) {
+    co_return suspects.TryGrantTrial(this->state.clock.now(), subject);
+  }
+  const auto reply =
+      co_await this->Ask(coordinator, {.engine = subject, .is_crash_trial = true}, {});
+  const bool is_granted = reply && reply->is_accepted;
+  if (is_granted) {
+    suspects.BeginTrial(this->state.clock.now(), subject);
+  } else {
+    suspects.DeferTrial(this->state.clock.now(), subject);
+  }
+  co_return is_granted;
+}
+
 bool EngineCoordinator::TryGrantColdStart(const Runner& runner) {
   const auto now = this->state.clock.now();
   // The key is read together with the rows of the routers. Before that, this router takes itself
@@ -165,6 +188,14 @@
 void EngineCoordinator::Decide(dispatch::PeerReport report) {
   const auto& proposal = *report.proposal;
   dispatch::PlacementReply reply = {.id = proposal.id};
+  if (proposal.is_crash_trial) {
+    reply.is_accepted =
+        this->state.suspects.TryGrantTrial(this->state.clock.now(), proposal.engine);
+    dispatch::PeerReport answer;
+    answer.reply = reply;
+    this->peers.SendPartial(report.sender, std::move(answer));
+    return;
+  }
   reply.others = this->state.peers.LoadWithout(report.sender, proposal.engine);
   const auto runner = this->state.runners_by_key.find(proposal.engine);
   if (runner != this->state.runners_by_key.end()) reply.others += runner->second->own;
--- a/services/pomelospar_edge/engine_coordinator.h
+++ b/services/pomelospar_edge/engine_coordinator.h
@@ -21,10 +21,12 @@
 /// Proposes placements to the coordinators of engines, and is the coordinator of some of them (see
 /// libraries/dispatch/engine_coordination.h). Only large fleets use it for warm engines. It is a
 /// hint there like the reports: a request whose proposal is not answered is sent all the same. At
-/// cold runners it is binding in each fleet: without a grant nothing is sent.
+/// cold runners, and for trials of requests that crash runners, it is binding in each fleet:
+/// without a grant nothing is sent.
 class EngineCoordinator {
  public:
-  /// Sets `RouterState::confirm_placement`, `confirm_cold_start` and `on_load_subtracted`.
+  /// Sets `RouterState::confirm_placement`, `confirm_cold_start`, `confirm_crash_trial` and
+  /// `on_load_subtracted`.
   /// `router_state` and `peer_exchange` must outlive this object.
   EngineCoordinator(RouterState& router_state, PeerExchange& peer_exchange);
   EngineCoordinator(const EngineCoordinator&) = delete;
@@ -46,7 +48,11 @@
                                        dispatch::PlacementProposal proposal);
   /// Asks the coordinator; returns nothing if it is not known, or silent.
   boost::asio::awaitable<std::optional<dispatch::PlacementReply>> Ask(
-      const std::string& coordinator, const Runner& runner, dispatch::PlacementProposal proposal);
+      const std::string& coordinator, dispatch::PlacementProposal proposal,
+      dispatch::EngineLoad own);
+  /// Returns true if the subject's coordinator grants a trial of it. Of two parts of a fleet that
+  /// are cut off from each other, each has a coordinator.
+  boost::asio::awaitable<bool> ConfirmCrashTrial(std::uint64_t subject);
   /// Returns true if the runner's coordinator grants the start of a request.
   boost::asio::awaitable<bool> ConfirmColdStart(std::shared_ptr<Runner> runner,
                                                 dispatch::PlacementProposal proposal);
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -55,6 +55,7 @@
   message.set_max_prefill_tokens(Whole(proposal.max_prefill_tokens));
   message.set_max_active(Whole(std::ceil(proposal.max_active)));
   message.set_cold_start(proposal.is_cold_start);
+  message.set_crash_trial(proposal.is_crash_trial);
 }
 
 dispatch::PlacementProposal Decode(const report::PlacementProposal& message) {
@@ -63,7 +64,8 @@
           .prefill_tokens = static_cast<double>(message.prefill_tokens()),
           .max_prefill_tokens = static_cast<double>(message.max_prefill_tokens()),
           .max_active = static_cast<double>(message.max_active()),
-          .is_cold_start = message.cold_start()};
+          .is_cold_start = message.cold_start(),
+          .is_crash_trial = message.crash_trial()};
 }
 
 void Encode(const dispatch::PlacementReply& reply, report::PlacementReply& message) {
@@ -152,6 +154,9 @@
     encoded->set_subject(suspicion.subject);
     encoded->set_crash(suspicion.crash);
     encoded->set_age_ms(WholeMilliseconds(suspicion.age));
+    if (suspicion.in_progress) {
+      encoded->set_in_progress_ms(WholeMilliseconds(*suspicion.in_progress));
+    }
   }
   for (const auto& acquittal : news.acquittals) {
     auto* encoded = message.add_acquittals();
@@ -169,8 +174,10 @@
 dispatch::SuspectNews DecodeSuspects(const report::Report& message) {
   dispatch::SuspectNews news;
   for (const auto& suspicion : message.suspicions()) {
+    std::optional<core::Duration> in_progress;
+    if (suspicion.has_in_progress_ms()) in_progress = DecodeAge(suspicion.in_progress_ms());
     news.suspicions.push_back(
-        {suspicion.subject(), suspicion.crash(), DecodeAge(suspicion.age_ms())});
+        {suspicion.subject(), suspicion.crash(), DecodeAge(suspicion.age_ms()), in_progress});
   }
   for (const auto& acquittal : message.acquittals()) {
     news.acquittals.push_back({acquittal.subject(), DecodeAge(acquittal.age_ms())});
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -300,6 +300,7 @@
   if (end == AttemptEnd::kDelivered) {
     co_return Step::kEnd;
   }
+  co_await this->AwaitCrashProbe();
   if (this->caller_gone || this->exchange.disconnected()) {
     this->LogEnd(499, "caller_gone", this->failure);
     co_return Step::kEnd;
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -147,8 +147,12 @@
   /// Returns true if runners have crashed under the request or under a part of its prompt, so that
   /// it must not be sent.
   bool IsRefusedAsSuspect() const;
-  /// Begins a trial for each subject that is in quarantine. Returns false if one is refused.
-  bool MaySendAsSuspect();
+  /// Asks for a trial of each subject that is in quarantine. Returns false if one is refused.
+  boost::asio::awaitable<bool> MaySendAsSuspect();
+  /// If the latest attempt was interrupted, and runners crashed under this request before, returns
+  /// when it is known whether the runner crashed again. A retry at once would take another runner
+  /// down before the crash counts.
+  boost::asio::awaitable<void> AwaitCrashProbe();
   Refusal SuspectRefusal();
   /// Call when reading a response has failed: counts a failure of the runner, and checks if the
   /// runner crashed when it closed the connection.
@@ -241,6 +245,8 @@
   std::string failure;
   http::UpstreamConnection* active_connection = nullptr;
   core::TimePoint sent_at;
+  /// The crash that is being confirmed, if the latest attempt was interrupted.
+  std::optional<std::uint64_t> interrupted_crash;
   std::optional<core::Duration> runner_idle_timeout;
 };
 
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -90,6 +90,8 @@
   std::string attempt_id;
   /// See `dispatch::SubjectsOf`.
   std::vector<std::uint64_t> subjects;
+  core::TimePoint sent_at;
+  core::TimePoint broken_at;
 };
 
 /// Requests of one upstream that leave this router's failure domain.
@@ -147,6 +149,9 @@
   /// EngineCoordinator.
   std::function<boost::asio::awaitable<bool>(std::shared_ptr<Runner>, dispatch::PlacementProposal)>
       confirm_cold_start;
+  /// Returns true if a trial of the subject, which is in quarantine, may be sent now. Set by
+  /// EngineCoordinator.
+  std::function<boost::asio::awaitable<bool>(std::uint64_t subject)> confirm_crash_trial;
   /// Prompt prefixes sent to engines since the last report to the routers of this failure domain.
   std::vector<dispatch::SentPrefix> recent_prefixes;
   /// True after the directory of runners has been read once.
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -10,7 +10,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <optional>
 #include <set>
+#include <span>
 #include <utility>
 
 #include "libraries/core/milliseconds.h"
@@ -44,6 +46,7 @@
 // This time after its connections broke, a crashed process has also closed its listening socket.
 constexpr core::Duration kCrashProbeDelay = milliseconds(20);
 constexpr core::Duration kCrashProbeTimeout = milliseconds(200);
+constexpr core::Duration kCrashProbePoll = milliseconds(5);
 // A connection is reused until this time before the runner's idle timeout, which could otherwise
 // run out while the next request is on its way.
 constexpr core::Duration kIdleTimeoutMargin = milliseconds(1000);
@@ -69,6 +72,18 @@
   return number;
 }
 
+// Returns when the first of the requests that are the subject as a whole was sent; nothing if the
+// subject is a part of a prompt.
+std::optional<core::TimePoint> EarliestSend(std::span<const InterruptedRequest> requests,
+                                            std::uint64_t subject) {
+  std::optional<core::TimePoint> earliest;
+  for (const auto& request : requests) {
+    if (request.subjects.empty() || request.subjects.front() != subject) continue;
+    earliest = std::min(earliest.value_or(request.sent_at), request.sent_at);
+  }
+  return earliest;
+}
+
 // After lost connections, records a crash if the runner accepts no new connection. A faulty runner
 // that only broke off its responses still listens.
 asio::awaitable<void> ConfirmCrash(RouterState& state, std::uint64_t crash,
@@ -85,17 +100,21 @@
   if (const auto known = state.runners.find(runner.id); known != state.runners.end()) {
     ObserveCold(state, *known->second, "crashed");
   }
+  dispatch::LocalCrash local = {.crash = crash, .at = state.clock.now()};
   std::set<std::uint64_t> subjects;
   for (const auto& request : interrupted) {
     subjects.insert(request.subjects.begin(), request.subjects.end());
+    local.at = std::min(local.at, request.broken_at);
     state.log.Write(LogLevel::kWarning, "crash_suspect",
                     {{"request", request.attempt_id},
                      {"runner", runner.id},
                      {"crash", crash},
                      {"subjects", fmt::format("{:x}", fmt::join(request.subjects, ","))}});
   }
-  const std::vector<std::uint64_t> distinct(subjects.begin(), subjects.end());
-  state.suspects.RecordLocalCrash(state.clock.now(), crash, distinct);
+  for (const auto subject : subjects) {
+    local.subjects.push_back({subject, EarliestSend(interrupted, subject)});
+  }
+  state.suspects.RecordLocalCrash(state.clock.now(), local);
   state.metrics
       .FindCounter("pomelospar_runner_crashes_total",
                    "Crashes of runners that interrupted requests of this router.", {})
@@ -104,12 +123,8 @@
 
 }  // namespace
 
-dispatch::SuspectVerdict RequestSession::VerdictFor(std::uint64_t subject) const {
-  const auto now = this->state.clock.now();
-  // The rank is costly in a large fleet, and hardly any request needs it.
-  if (!this->state.suspects.IsInQuarantine(now, subject)) return SuspectVerdict::kAllowed;
-  const auto rank = this->state.peers.RendezvousRankOf(this->state.settings.ip, subject);
-  return this->state.suspects.VerdictFor(now, subject, rank);
+SuspectVerdict RequestSession::VerdictFor(std::uint64_t subject) const {
+  return this->state.suspects.VerdictFor(this->state.clock.now(), subject);
 }
 
 bool RequestSession::IsRefusedAsSuspect() const {
@@ -118,16 +133,27 @@
   });
 }
 
-bool RequestSession::MaySendAsSuspect() {
-  if (this->IsRefusedAsSuspect()) return false;
+asio::awaitable<bool> RequestSession::MaySendAsSuspect() {
+  if (this->IsRefusedAsSuspect()) co_return false;
   for (const auto subject : this->subjects) {
     if (this->VerdictFor(subject) != SuspectVerdict::kTrial) continue;
-    this->state.suspects.BeginTrial(this->state.clock.now(), subject);
+    const bool is_granted = co_await this->state.confirm_crash_trial(subject);
+    if (!is_granted) co_return false;
     this->state.log.Write(
         LogLevel::kWarning, "crash_trial",
         {{"request", this->facts.attempt_id}, {"subject", fmt::format("{:x}", subject)}});
   }
-  return true;
+  co_return true;
+}
+
+asio::awaitable<void> RequestSession::AwaitCrashProbe() {
+  if (!this->interrupted_crash || this->subjects.empty()) co_return;
+  if (this->state.suspects.CrashesOf(this->subjects.front()) == 0) co_return;
+  asio::steady_timer timer(this->state.io);
+  while (this->state.interrupted_requests.contains(*this->interrupted_crash)) {
+    timer.expires_after(kCrashProbePoll);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
 }
 
 RequestSession::Refusal RequestSession::SuspectRefusal() {
@@ -152,7 +178,11 @@
   const auto crash =
       core::CombineHashes(runner.key, static_cast<std::uint64_t>(runner.record.started_unix_ms));
   const auto [entry, is_first] = this->state.interrupted_requests.try_emplace(crash);
-  entry->second.push_back({this->facts.attempt_id, this->subjects});
+  entry->second.push_back({.attempt_id = this->facts.attempt_id,
+                           .subjects = this->subjects,
+                           .sent_at = this->sent_at,
+                           .broken_at = this->state.clock.now()});
+  this->interrupted_crash = crash;
   if (!is_first) return;
   asio::co_spawn(this->state.io, ConfirmCrash(this->state, crash, runner.record), asio::detached);
 }
@@ -160,6 +190,7 @@
 asio::awaitable<AttemptEnd> RequestSession::Attempt() {
   auto& runner = this->reservation->runner();
   this->tried.push_back(runner.record.id);
+  this->interrupted_crash.reset();
   const auto connect_timeout = std::min(kConnectTimeout, this->TimeLeft());
   const auto connect_until = this->state.clock.now() + connect_timeout;
   auto acquired =
@@ -180,6 +211,12 @@
   }
   auto connection = std::move(acquired.value());
   this->used_connections.push_back(connection->id());
+  const bool may_send = co_await this->MaySendAsSuspect();
+  if (!may_send) {
+    this->failure = kCrashedRunners;
+    this->pool.Release(std::move(connection));
+    co_return AttemptEnd::kNotSent;
+  }
   // Opening the connection took time, so the conditions for sending are checked again. If the event
   // loop is late, the caller may have closed its connection long before this is reported.
   if (this->CallerMayBeGone() && this->exchange.PeerHasClosed()) this->caller_gone = true;
@@ -194,11 +231,6 @@
     this->pool.Release(std::move(connection));
     co_return AttemptEnd::kNotSent;
   }
-  if (!this->MaySendAsSuspect()) {
-    this->failure = kCrashedRunners;
-    this->pool.Release(std::move(connection));
-    co_return AttemptEnd::kNotSent;
-  }
   connection->AcceptCloseDelimited();
   this->active_connection = connection.get();
   this->runner_idle_timeout.reset();
--- a/tests/libraries/dispatch/crash_replay_test.cc
+++ b/tests/libraries/dispatch/crash_replay_test.cc
@@ -178,7 +178,7 @@
     std::vector<std::uint64_t> trials;
     for (std::size_t index = 0; index < request.subjects.size(); ++index) {
       const auto subject = request.subjects[index];
-      const auto verdict = router.VerdictFor(now, subject, this->RankOf(request.router, subject));
+      const auto verdict = router.VerdictFor(now, subject);
       if (verdict == SuspectVerdict::kTrial) trials.push_back(subject);
       if (verdict != SuspectVerdict::kRefused) continue;
       router.OnRefused(now, subject);
@@ -193,18 +193,31 @@
       if (!runner.back_at) up.push_back(&runner);
     }
     if (up.empty()) return;
-    for (const auto subject : trials) router.BeginTrial(now, subject);
+    for (const auto subject : trials) {
+      if (!this->GrantsTrial(request.router, subject)) return;
+    }
     if (request.is_crashing) this->result.crashing_arrivals.push_back(now);
     request.end = now + milliseconds(request.is_crashing ? 50 : 200 + this->DrawBelow(1500));
     up[this->DrawBelow(up.size())]->running.push_back(std::move(request));
   }
 
-  std::size_t RankOf(std::size_t router, std::uint64_t subject) const {
-    std::size_t rank = 0;
-    for (std::size_t other = 0; other < this->routers.size(); ++other) {
-      if (core::CombineHashes(subject, other) > core::CombineHashes(subject, router)) ++rank;
+  bool GrantsTrial(std::size_t router, std::uint64_t subject) {
+    const auto now = this->clock.now();
+    std::size_t coordinator = 0;
+    for (std::size_t other = 1; other < this->routers.size(); ++other) {
+      if (core::CombineHashes(subject, other) > core::CombineHashes(subject, coordinator)) {
+        coordinator = other;
+      }
+    }
+    // The proposal or the reply may be lost.
+    const bool is_granted = this->Draw() >= this->plan.lost_reports &&
+                            this->routers[coordinator].TryGrantTrial(now, subject);
+    if (is_granted) {
+      this->routers[router].BeginTrial(now, subject);
+    } else {
+      this->routers[router].DeferTrial(now, subject);
     }
-    return rank;
+    return is_granted;
   }
 
   void Report() {
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -30,9 +30,14 @@
   void Report(CrashSuspects& from, CrashSuspects& to) {
     to.Apply(this->clock.now(), from.TakeNews(this->clock.now()));
   }
-  SuspectVerdict Verdict(const CrashSuspects& suspects, std::uint64_t subject,
-                         std::size_t rank = 0) {
-    return suspects.VerdictFor(this->clock.now(), subject, rank);
+  /// Records a crash under a whole request that was sent to the runner some time before.
+  void CrashAfter(CrashSuspects& suspects, std::uint64_t crash, core::Duration in_progress) {
+    const auto at = this->clock.now();
+    suspects.RecordLocalCrash(
+        at, {.crash = crash, .at = at, .subjects = {{.subject = 7, .sent_at = at - in_progress}}});
+  }
+  SuspectVerdict Verdict(const CrashSuspects& suspects, std::uint64_t subject) {
+    return suspects.VerdictFor(this->clock.now(), subject);
   }
   bool IsRefused(const CrashSuspects& suspects, std::uint64_t subject) {
     return this->Verdict(suspects, subject) == SuspectVerdict::kRefused;
@@ -83,6 +88,34 @@
   EXPECT_EQ(this->local.CrashesOf(7), 10U);
 }
 
+// A request whose retries take down one runner after the other must be refused after the third,
+// although all three fall within one moment; one that was in progress on all of them when they fell
+// is a victim like others.
+TEST_F(CrashSuspectsTest, CountsCrashesUnderRetriesOfOneRequest) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) {
+    this->clock.Advance(milliseconds(10));
+    this->CrashAfter(this->local, crash, milliseconds(5));
+    this->CrashAfter(this->remote, crash, seconds(1));
+  }
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
+  CrashSuspects third;
+  this->Report(this->local, third);
+  EXPECT_TRUE(this->IsRefused(third, 7));
+}
+
+// A subject must not escape quarantine because the crashes of its first moment fill the list.
+TEST_F(CrashSuspectsTest, CountsEachMomentAfterManyCrashesOfOne) {
+  std::uint64_t crash = 0;
+  for (int moment = 0; moment < 3; ++moment) {
+    this->clock.Advance(kApart);
+    for (int runner = 0; runner < 20; ++runner) {
+      this->local.RecordLocalCrash(this->clock.now(), ++crash, std::array<std::uint64_t, 1>{7});
+    }
+  }
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+}
+
 // A request that often runs beside one that crashes runners must not be refused.
 TEST_F(CrashSuspectsTest, ForgetsWhatIsAnswered) {
   for (std::uint64_t crash = 0; crash < 5; ++crash) {
@@ -137,14 +170,18 @@
   this->Report(this->local, this->remote);
   static_cast<void>(this->local.Update(this->clock.now()));
   this->clock.Advance(seconds(5));
-  EXPECT_EQ(this->Verdict(this->local, 7, 0), SuspectVerdict::kTrial);
-  EXPECT_TRUE(this->Verdict(this->remote, 7, 1) == SuspectVerdict::kRefused);
-  this->local.BeginTrial(this->clock.now(), 7);
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kTrial);
+  // Both may ask, but the coordinator grants one trial.
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kTrial);
+  EXPECT_TRUE(this->local.TryGrantTrial(this->clock.now(), 7));
+  EXPECT_FALSE(this->local.TryGrantTrial(this->clock.now(), 7));
+  this->remote.DeferTrial(this->clock.now(), 7);
+  EXPECT_TRUE(this->IsRefused(this->remote, 7));
   EXPECT_TRUE(this->IsRefused(this->local, 7));
   this->clock.Advance(milliseconds(200));
   this->Report(this->local, this->remote);
   this->clock.Advance(milliseconds(800));
-  EXPECT_EQ(this->Verdict(this->remote, 7, 1), SuspectVerdict::kRefused);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kRefused);
   this->Crash(this->local, 3, {7});
   this->clock.Advance(seconds(59));
   EXPECT_TRUE(this->IsRefused(this->local, 7));
