Dispatch: Keep a quarantine over the restart of all routers in turn

Cause: a router that only knew a quarantine from others passed it on only if it had refused the request itself within 30 s, and forgot it 10 s after it was last told, so that routers would not tell it each other without end. When the last router with evidence of its own had been restarted, nobody told it any more.

A quarantine is now told with the time of the latest crash or trial, which stays the same whoever tells it, and ends ten minutes after that. Thus each router can pass it on. A router that knows the crashes itself judges them itself, so that a quarantine which a worse suspect explains is not kept by what others tell. Trials that failed before a restart are added to those after it.

LearnsQuarantinesFromOtherRouters demanded that a quarantine ends with its teller, which is the fault; it now demands that telling it again does not extend it, that trials count over restarts, and, in a test of its own, that an answer ends it wherever it was told.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -36,16 +36,11 @@
 // Time without a crash after which one request with the subject is sent as a trial, by the number
 // of trials that failed. The users bear three requests with a part that is known to crash runners.
 constexpr std::array<core::Duration, 3> kTrialDelays = {seconds(5), minutes(1), minutes(10)};
-// A quarantine told by another router holds for this long after it was last told.
-constexpr core::Duration kToldRetention = seconds(10);
-// A router that only knows a quarantine from others passes it on if it has itself refused a request
-// within this time; otherwise the routers would tell it each other without end.
-constexpr core::Duration kTellAfterRefusal = seconds(30);
 // Time for which the coordinator is not asked again after it did not grant a trial, so that a flood
 // of such requests is refused without a round trip for each.
 constexpr core::Duration kTrialDeferral = milliseconds(500);
 // Requests that were sent before the quarantine crash their runners within this time; a later crash
-// is that of a trial.
+// is that of a trial. Times that other routers tell are late by less than this.
 constexpr core::Duration kCrashesInFlight = seconds(2);
 
 core::Duration TrialDelay(std::uint64_t failed_trials) {
@@ -168,7 +163,7 @@
   if (found == this->suspects.end()) return;
   auto& suspect = found->second;
   std::erase_if(suspect.crashes, [&](const Crash& crash) { return crash.at <= at; });
-  if (suspect.last <= at) suspect.told_at.reset();
+  if (suspect.last <= at) suspect.told_last.reset();
   // An empty suspect stays until `Update`, which tells that its quarantine has ended.
 }
 
@@ -196,6 +191,7 @@
 }
 
 void CrashSuspects::ApplyQuarantine(core::TimePoint now, const Quarantine& told) {
+  if (told.age >= kQuarantineRetention) return;
   const auto last = now - told.age;
   const auto answered = this->answers.Find(told.subject);
   if (answered && *answered >= last) {
@@ -207,8 +203,11 @@
     return;
   }
   auto& suspect = this->suspects[told.subject];
-  suspect.told_at = now;
-  suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
+  const bool is_newer = !suspect.told_last || last > *suspect.told_last;
+  if (is_newer || told.failed_trials > suspect.told_failed_trials) {
+    suspect.told_last = is_newer ? last : *suspect.told_last;
+    suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
+  }
   suspect.last = std::max(suspect.last, last);
 }
 
@@ -254,26 +253,34 @@
 }
 
 bool CrashSuspects::IsTold(core::TimePoint now, const Suspect& suspect) {
-  return suspect.told_at && now - *suspect.told_at < kToldRetention;
+  return suspect.told_last &&
+         now - std::max(*suspect.told_last, suspect.last_refused) < kQuarantineRetention;
 }
 
 bool CrashSuspects::IsConvicted(core::TimePoint now, std::uint64_t subject,
                                 const Suspect& suspect) const {
-  if (IsTold(now, suspect)) return true;
   const auto needed = this->MomentsNeeded(subject);
-  if (suspect.crashes.size() < needed) return false;
+  if (suspect.crashes.size() < needed || this->CountMoments(subject, suspect, false) < needed) {
+    return IsTold(now, suspect);
+  }
+  // A router that knows the crashes itself judges them itself.
   return this->CountMoments(subject, suspect, true) >= needed;
 }
 
 std::uint64_t CrashSuspects::FailedTrials(const Suspect& suspect) {
+  const auto count_after = [&](core::TimePoint from) {
+    return static_cast<std::uint64_t>(
+        std::count_if(suspect.crashes.begin(), suspect.crashes.end(),
+                      [from](const Crash& crash) { return crash.at > from; }));
+  };
   std::uint64_t own = 0;
-  if (suspect.in_quarantine) {
-    own = static_cast<std::uint64_t>(
-        std::count_if(suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash& crash) {
-          return crash.at > suspect.quarantine_begin + kCrashesInFlight;
-        }));
+  if (suspect.in_quarantine) own = count_after(suspect.quarantine_begin + kCrashesInFlight);
+  // After a restart only the trials since then are known by their crashes.
+  std::uint64_t told = 0;
+  if (suspect.told_last && suspect.told_failed_trials > 0) {
+    told = suspect.told_failed_trials + count_after(*suspect.told_last + kCrashesInFlight);
   }
-  return std::max(own, suspect.told_failed_trials);
+  return std::max(own, told);
 }
 
 bool CrashSuspects::IsInQuarantine(core::TimePoint now, std::uint64_t subject) const {
@@ -339,8 +346,6 @@
                 [](const PendingAcquittal& pending) { return pending.sends_left == 0; });
   for (const auto& [subject, suspect] : this->suspects) {
     if (news.quarantines.size() >= kMaxQuarantinesPerReport) break;
-    const bool refuses = now - suspect.last_refused < kTellAfterRefusal;
-    if (IsTold(now, suspect) && !refuses) continue;
     if (!this->IsConvicted(now, subject, suspect)) continue;
     news.quarantines.push_back({subject, FailedTrials(suspect), now - suspect.last});
   }
--- a/libraries/dispatch/crash_suspects.h
+++ b/libraries/dispatch/crash_suspects.h
@@ -90,7 +90,9 @@
 /// have one part of their prompts in common. An engine runs about a hundred requests at once, so
 /// one crash proves little about any of them. A subject is put in quarantine if it was in progress
 /// in crashes at several moments and no runner has answered it completely since; crashes that a
-/// worse suspect explains do not count. A complete answer at any router ends the quarantine.
+/// worse suspect explains do not count. A complete answer at any router ends the quarantine. A
+/// quarantine outlives the routers that saw the crashes: each router tells it with the time of the
+/// latest crash or trial, so that telling it again does not extend it.
 class CrashSuspects {
  public:
   /// A subject that was never answered is put in quarantine after crashes at this many moments.
@@ -155,8 +157,9 @@
   struct Suspect {
     /// Crashes since the subject was last answered, in order of time.
     std::vector<Crash> crashes;
-    /// Time at which another router last told that it refuses the subject.
-    std::optional<core::TimePoint> told_at;
+    /// Time of the latest crash or trial by what another router told that refuses the subject, and
+    /// the trials that had failed until then.
+    std::optional<core::TimePoint> told_last;
     std::uint64_t told_failed_trials = 0;
     /// The coordinator is not asked for a trial before this time.
     core::TimePoint trial_deferred_until;
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -192,22 +192,52 @@
   EXPECT_TRUE(this->IsRefused(this->local, 7));
 }
 
-// A router that was restarted knows no crash. It must refuse what the others refuse, as long as
-// they do, and pass it on if they are restarted in turn.
+// A router that was restarted knows no crash. It must refuse what the others refuse, and pass it on
+// if they are restarted in turn, also if no such request has come meanwhile. Telling it must not
+// extend it, and an answer anywhere must end it.
 TEST_F(CrashSuspectsTest, LearnsQuarantinesFromOtherRouters) {
   for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  const auto last = this->clock.now();
   for (int report = 0; report < 12; ++report) static_cast<void>(this->local.TakeNews({}));
   this->Report(this->local, this->remote);
   EXPECT_TRUE(this->IsRefused(this->remote, 7));
-  this->remote.OnRefused(this->clock.now(), 7);
+  this->clock.Advance(seconds(20));
   CrashSuspects third;
   this->Report(this->remote, third);
-  EXPECT_TRUE(this->IsRefused(third, 7));
+  EXPECT_EQ(this->Verdict(third, 7), SuspectVerdict::kTrial);
+  static_cast<void>(third.Update(this->clock.now()));
+  // The trial crashes its runner, and the third router is restarted too.
+  EXPECT_TRUE(third.TryGrantTrial(this->clock.now(), 7));
+  this->clock.Advance(seconds(3));
+  this->Crash(third, 9, {7});
   CrashSuspects fourth;
   this->Report(third, fourth);
+  this->clock.Advance(seconds(30));
+  EXPECT_TRUE(this->IsRefused(fourth, 7));
+  while (this->clock.now() - last < 2 * CrashSuspects::kQuarantineRetention) {
+    this->Report(this->remote, fourth);
+    this->Report(fourth, this->remote);
+    this->clock.Advance(seconds(20));
+  }
   EXPECT_EQ(this->Verdict(fourth, 7), SuspectVerdict::kAllowed);
-  this->clock.Advance(seconds(11));
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
+}
+
+// A restarted router must not go on refusing what a runner has answered at another one.
+TEST_F(CrashSuspectsTest, ForgetsToldQuarantinesAfterAnAnswer) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  this->Report(this->local, this->remote);
+  CrashSuspects third;
+  this->Report(this->remote, third);
+  this->clock.Advance(milliseconds(10));
+  this->Answer(this->local, 7);
+  this->Report(this->local, third);
   EXPECT_EQ(this->Verdict(third, 7), SuspectVerdict::kAllowed);
+  // A router that missed the answer tells the quarantine again.
+  this->Report(this->remote, third);
+  EXPECT_EQ(this->Verdict(third, 7), SuspectVerdict::kAllowed);
+  this->Report(third, this->remote);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
 }
 
 // A suspicion must end when nothing confirms it.
--- a/tests/system/test_crashing_parts.py
+++ b/tests/system/test_crashing_parts.py
@@ -25,6 +25,8 @@
 # Times in seconds without a crash, and with requests that crash runners.
 CALM_SECONDS = 2.0
 TROUBLE_SECONDS = 16.0
+# Longer than the time in seconds within which crashes count as one.
+MOMENT_SECONDS = 1.0
 # Time in seconds after which crashed runners serve again.
 CRASH_RECOVERY_SECONDS = 3.0
 
@@ -152,6 +154,44 @@
     def test_serves_requests_whose_path_and_body_equal_those_of_crashing_ones(self):
         self.check_containment(equal_bodies=True)
 
+    def send_crashing(self, router):
+        attempt = f"attempt-{next(self.numbers)}"
+        headers = {"X-Prompt-Prefix": f"a1:500,{CRASHING_PART}:40,{next(self.numbers):x}:300"}
+        return router.send(attempt, "/s/1", headers=headers, timeout=4)[0]
+
+    def count_crashing_requests(self):
+        return sum(
+            CRASHING_PART in part_identifiers(request["headers"])
+            for runner in self.all_runners()
+            for request in runner.requests
+        )
+
+    # Guards against a fleet that forgets which part crashes runners when all of its routers are restarted in
+    # turn, and against a trial at each router when one is due.
+    def test_containment_outlives_a_restart_of_each_router(self):
+        self.start_fleet("engines", 8, crashing_part=CRASHING_PART, execution_seconds=0.05)
+        for router in self.routers:
+            self.send_crashing(router)
+            time.sleep(MOMENT_SECONDS)
+        before = self.count_crashing_requests()
+        self.assertGreaterEqual(before, 3)
+        for router in self.routers:
+            router.process.terminate()
+            router.process.wait(10)
+            router.start()
+            self.assertTrue(until(router.is_ready, 5))
+            time.sleep(DISCOVERY_SECONDS)
+        # A trial is due 5 s after the latest crash.
+        time.sleep(5)
+        for _ in range(2):
+            threads = [threading.Thread(target=self.send_crashing, args=[router]) for router in self.routers]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            time.sleep(MOMENT_SECONDS)
+        self.assertLessEqual(self.count_crashing_requests() - before, 1)
+
     # Guards against refusing equal requests because they were in progress on runners that crashed for
     # reasons of their own.
     def test_serves_equal_requests_beside_ordinary_crashes(self):
