--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -33,18 +33,14 @@
 // A subject that was answered at this router so recently is not reported to the others.
 constexpr core::Duration kAnsweredJustNow = seconds(2);
 constexpr core::Duration kAcquittalPeriod = milliseconds(300);
-// A quarantine told by another router holds for this long after it was last told.
-constexpr core::Duration kToldRetention = seconds(10);
-// A router that only knows a quarantine from others passes it on if it has itself refused a request
-// within this time; otherwise the routers would tell it each other without end.
-constexpr core::Duration kTellAfterRefusal = seconds(30);
 // Time without a crash after which one request with the subject is sent as a trial, by the number
 // of trials that failed. The users bear three requests with a part that is known to crash runners.
 constexpr std::array<core::Duration, 3> kTrialDelays = {seconds(5), minutes(1), minutes(10)};
-// Longer than a report takes to reach the other routers.
-constexpr core::Duration kTrialStep = milliseconds(500);
+// Time for which the coordinator is not asked again after it did not grant a trial, so that a flood
+// of such requests is refused without a round trip for each.
+constexpr core::Duration kTrialDeferral = milliseconds(500);
 // Requests that were sent before the quarantine crash their runners within this time; a later crash
-// is that of a trial.
+// is that of a trial. Times that other routers tell are late by less than this.
 constexpr core::Duration kCrashesInFlight = seconds(2);
 
 core::Duration TrialDelay(std::uint64_t failed_trials) {
@@ -70,15 +66,27 @@
 
 void CrashSuspects::RecordLocalCrash(core::TimePoint now, std::uint64_t crash,
                                      std::span<const std::uint64_t> subjects) {
-  for (const auto subject : subjects) {
-    this->RecordCrash(now, {.subject = subject, .crash = crash});
+  LocalCrash local = {.crash = crash, .at = now};
+  for (const auto subject : subjects) local.subjects.push_back({.subject = subject});
+  this->RecordLocalCrash(now, local);
+}
+
+void CrashSuspects::RecordLocalCrash(core::TimePoint now, const LocalCrash& crash) {
+  for (const auto& [subject, sent_at] : crash.subjects) {
+    std::optional<core::Duration> in_progress;
+    if (sent_at) in_progress = crash.at - *sent_at;
+    this->RecordCrash(now, {.subject = subject,
+                            .crash = crash.crash,
+                            .age = now - crash.at,
+                            .in_progress = in_progress});
     const auto answered = this->answers.Find(subject);
     if (answered && now - *answered < kAnsweredJustNow) continue;
     if (this->pending_suspicions.size() >= kMaxPendingSuspicions) {
       ++this->dropped_suspicions;
       continue;
     }
-    this->pending_suspicions.push_back({subject, crash, now, kReportsPerNews});
+    this->pending_suspicions.push_back(
+        {subject, crash.crash, crash.at, in_progress, kReportsPerNews});
   }
   this->FindWorst();
 }
@@ -99,13 +107,33 @@
   const bool known =
       std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
                   [&](const Crash& crash) { return crash.identifier == suspicion.crash; });
-  if (known || suspect.crashes.size() >= kMaxCrashesPerSuspect) return;
-  const auto position = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
-                                     [&](const Crash& crash) { return crash.at > *at; });
-  suspect.crashes.insert(position, {suspicion.crash, *at});
+  if (known) return;
+  Crash crash = {.identifier = suspicion.crash, .at = *at};
+  if (suspicion.in_progress) crash.sent_at = *at - *suspicion.in_progress;
+  InsertCrash(suspect, crash);
   suspect.last = std::max(suspect.last, *at);
 }
 
+void CrashSuspects::InsertCrash(Suspect& suspect, const Crash& crash) {
+  auto& crashes = suspect.crashes;
+  if (crashes.size() >= kMaxCrashesPerSuspect) {
+    // More crashes of one moment prove nothing more, but each moment counts.
+    auto dropped = std::find_if(crashes.begin(), crashes.end(), [&](const Crash& other) {
+      return std::chrono::abs(other.at - crash.at) <= kMomentLength;
+    });
+    if (dropped == crashes.end()) {
+      dropped = std::adjacent_find(crashes.begin(), crashes.end(),
+                                   [](const Crash& first, const Crash& second) {
+                                     return second.at - first.at <= kMomentLength;
+                                   });
+    }
+    crashes.erase(dropped == crashes.end() ? crashes.begin() : dropped);
+  }
+  const auto position = std::find_if(crashes.begin(), crashes.end(),
+                                     [&](const Crash& other) { return other.at > crash.at; });
+  crashes.insert(position, crash);
+}
+
 bool CrashSuspects::MakeRoom(core::TimePoint now) {
   if (this->suspects.size() < kMaxSuspects) return true;
   if (now - this->last_cleanup < kCleanupPeriod) return false;
@@ -135,7 +163,7 @@
   if (found == this->suspects.end()) return;
   auto& suspect = found->second;
   std::erase_if(suspect.crashes, [&](const Crash& crash) { return crash.at <= at; });
-  if (suspect.last <= at) suspect.told_at.reset();
+  if (suspect.last <= at) suspect.told_last.reset();
   // An empty suspect stays until `Update`, which tells that its quarantine has ended.
 }
 
@@ -163,6 +191,7 @@
 }
 
 void CrashSuspects::ApplyQuarantine(core::TimePoint now, const Quarantine& told) {
+  if (told.age >= kQuarantineRetention) return;
   const auto last = now - told.age;
   const auto answered = this->answers.Find(told.subject);
   if (answered && *answered >= last) {
@@ -174,8 +203,11 @@
     return;
   }
   auto& suspect = this->suspects[told.subject];
-  suspect.told_at = now;
-  suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
+  const bool is_newer = !suspect.told_last || last > *suspect.told_last;
+  if (is_newer || told.failed_trials > suspect.told_failed_trials) {
+    suspect.told_last = is_newer ? last : *suspect.told_last;
+    suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
+  }
   suspect.last = std::max(suspect.last, last);
 }
 
@@ -199,10 +231,13 @@
                                      bool only_unexplained) const {
   unsigned moments = 0;
   std::optional<core::TimePoint> begin;
+  std::optional<core::TimePoint> latest;
   for (const auto& crash : suspect.crashes) {
-    if (begin && crash.at - *begin <= kMomentLength) continue;
+    const bool is_retry = crash.sent_at && latest && *crash.sent_at >= *latest;
+    if (begin && crash.at - *begin <= kMomentLength && !is_retry) continue;
     if (only_unexplained && this->IsExplained(subject, suspect, crash)) continue;
     begin = crash.at;
+    latest = crash.at;
     ++moments;
   }
   return moments;
@@ -218,26 +253,34 @@
 }
 
 bool CrashSuspects::IsTold(core::TimePoint now, const Suspect& suspect) {
-  return suspect.told_at && now - *suspect.told_at < kToldRetention;
+  return suspect.told_last &&
+         now - std::max(*suspect.told_last, suspect.last_refused) < kQuarantineRetention;
 }
 
 bool CrashSuspects::IsConvicted(core::TimePoint now, std::uint64_t subject,
                                 const Suspect& suspect) const {
-  if (IsTold(now, suspect)) return true;
   const auto needed = this->MomentsNeeded(subject);
-  if (suspect.crashes.size() < needed) return false;
+  if (suspect.crashes.size() < needed || this->CountMoments(subject, suspect, false) < needed) {
+    return IsTold(now, suspect);
+  }
+  // A router that knows the crashes itself judges them itself.
   return this->CountMoments(subject, suspect, true) >= needed;
 }
 
 std::uint64_t CrashSuspects::FailedTrials(const Suspect& suspect) {
+  const auto count_after = [&](core::TimePoint from) {
+    return static_cast<std::uint64_t>(
+        std::count_if(suspect.crashes.begin(), suspect.crashes.end(),
+                      [from](const Crash& crash) { return crash.at > from; }));
+  };
   std::uint64_t own = 0;
-  if (suspect.in_quarantine) {
-    own = static_cast<std::uint64_t>(
-        std::count_if(suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash& crash) {
-          return crash.at > suspect.quarantine_begin + kCrashesInFlight;
-        }));
+  if (suspect.in_quarantine) own = count_after(suspect.quarantine_begin + kCrashesInFlight);
+  // After a restart only the trials since then are known by their crashes.
+  std::uint64_t told = 0;
+  if (suspect.told_last && suspect.told_failed_trials > 0) {
+    told = suspect.told_failed_trials + count_after(*suspect.told_last + kCrashesInFlight);
   }
-  return std::max(own, suspect.told_failed_trials);
+  return std::max(own, told);
 }
 
 bool CrashSuspects::IsInQuarantine(core::TimePoint now, std::uint64_t subject) const {
@@ -245,15 +288,20 @@
   return found != this->suspects.end() && this->IsConvicted(now, subject, found->second);
 }
 
-SuspectVerdict CrashSuspects::VerdictFor(core::TimePoint now, std::uint64_t subject,
-                                         std::size_t rank) const {
+SuspectVerdict CrashSuspects::VerdictFor(core::TimePoint now, std::uint64_t subject) const {
   if (!this->IsInQuarantine(now, subject)) return SuspectVerdict::kAllowed;
   const auto& suspect = this->suspects.at(subject);
-  const auto due = suspect.last + TrialDelay(FailedTrials(suspect)) +
-                   kTrialStep * static_cast<std::int64_t>(rank);
+  const auto due =
+      std::max(suspect.last + TrialDelay(FailedTrials(suspect)), suspect.trial_deferred_until);
   return now >= due ? SuspectVerdict::kTrial : SuspectVerdict::kRefused;
 }
 
+bool CrashSuspects::TryGrantTrial(core::TimePoint now, std::uint64_t subject) {
+  if (this->VerdictFor(now, subject) != SuspectVerdict::kTrial) return false;
+  this->BeginTrial(now, subject);
+  return true;
+}
+
 std::uint64_t CrashSuspects::CrashesOf(std::uint64_t subject) const {
   const auto found = this->suspects.find(subject);
   return found == this->suspects.end() ? 0 : found->second.crashes.size();
@@ -264,6 +312,11 @@
   if (found != this->suspects.end()) found->second.last = now;
 }
 
+void CrashSuspects::DeferTrial(core::TimePoint now, std::uint64_t subject) {
+  const auto found = this->suspects.find(subject);
+  if (found != this->suspects.end()) found->second.trial_deferred_until = now + kTrialDeferral;
+}
+
 void CrashSuspects::OnRefused(core::TimePoint now, std::uint64_t subject) {
   const auto found = this->suspects.find(subject);
   if (found != this->suspects.end()) found->second.last_refused = now;
@@ -274,7 +327,8 @@
   const auto suspicions = std::min(this->pending_suspicions.size(), kMaxSuspicionsPerReport);
   for (std::size_t index = 0; index < suspicions; ++index) {
     auto& pending = this->pending_suspicions[index];
-    news.suspicions.push_back({pending.subject, pending.crash, now - pending.crashed_at});
+    news.suspicions.push_back(
+        {pending.subject, pending.crash, now - pending.crashed_at, pending.in_progress});
     --pending.sends_left;
   }
   // If not all fit, the others come first next time.
@@ -292,8 +346,6 @@
                 [](const PendingAcquittal& pending) { return pending.sends_left == 0; });
   for (const auto& [subject, suspect] : this->suspects) {
     if (news.quarantines.size() >= kMaxQuarantinesPerReport) break;
-    const bool refuses = now - suspect.last_refused < kTellAfterRefusal;
-    if (IsTold(now, suspect) && !refuses) continue;
     if (!this->IsConvicted(now, subject, suspect)) continue;
     news.quarantines.push_back({subject, FailedTrials(suspect), now - suspect.last});
   }
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -119,6 +119,8 @@
   // One attempt, in runner_attempt.cc.
   boost::asio::awaitable<AttemptEnd> Attempt();
   boost::asio::awaitable<AttemptEnd> Exchange(http::UpstreamConnection& connection);
+  /// True if the source of the planned cache copy can still be used.
+  bool MayCopyFromCacheSource() const;
   boost::asio::awaitable<core::Result<http::ResponseHead>> ReadMatchingHead(
       http::UpstreamConnection& connection);
   PendingSend DescribeSend(const http::UpstreamConnection& connection) const;
@@ -145,8 +147,12 @@
   /// Returns true if runners have crashed under the request or under a part of its prompt, so that
   /// it must not be sent.
   bool IsRefusedAsSuspect() const;
-  /// Begins a trial for each subject that is in quarantine. Returns false if one is refused.
-  bool MaySendAsSuspect();
+  /// Asks for a trial of each subject that is in quarantine. Returns false if one is refused.
+  boost::asio::awaitable<bool> MaySendAsSuspect();
+  /// If the latest attempt was interrupted, and runners crashed under this request before, returns
+  /// when it is known whether the runner crashed again. A retry at once would take another runner
+  /// down before the crash counts.
+  boost::asio::awaitable<void> AwaitCrashProbe();
   Refusal SuspectRefusal();
   /// Call when reading a response has failed: counts a failure of the runner, and checks if the
   /// runner crashed when it closed the connection.
@@ -203,8 +209,10 @@
   double predicted_ms = 0.0;
   double queue_ms = 0.0;
   double cached_tokens = 0.0;
-  /// "ip:port" of the runner from whose prefix cache the chosen one copies; empty if it does not.
-  std::string cache_source;
+  /// The runner from whose prefix cache the chosen one copies, and the run in which it had the
+  /// prefix; null if it does not copy.
+  std::shared_ptr<Runner> cache_source;
+  std::int64_t cache_source_started_unix_ms = 0;
   double queue_limit_ms = 0.0;
   dispatch::EngineRejections engine_rejections;
   /// True after the request was told to end, at its deadline or for a stop.
@@ -237,6 +245,8 @@
   std::string failure;
   http::UpstreamConnection* active_connection = nullptr;
   core::TimePoint sent_at;
+  /// The crash that is being confirmed, if the latest attempt was interrupted.
+  std::optional<std::uint64_t> interrupted_crash;
   std::optional<core::Duration> runner_idle_timeout;
 };
 
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -62,6 +62,8 @@
   dispatch::RunnerHealth health;
   dispatch::RunnerNotices notices;
   dispatch::ColdState cold;
+  /// Version of the runner's row in the store; 0 before this router has read it.
+  std::uint64_t entry_version = 0;
   /// Prompt prefixes that the runner's engine probably has in its cache.
   dispatch::PrefixRecord prefixes;
   /// Set while the runner's entry is missing after an outage of the store: the runner is removed at
@@ -88,6 +90,8 @@
   std::string attempt_id;
   /// See `dispatch::SubjectsOf`.
   std::vector<std::uint64_t> subjects;
+  core::TimePoint sent_at;
+  core::TimePoint broken_at;
 };
 
 /// Requests of one upstream that leave this router's failure domain.
@@ -145,6 +149,9 @@
   /// EngineCoordinator.
   std::function<boost::asio::awaitable<bool>(std::shared_ptr<Runner>, dispatch::PlacementProposal)>
       confirm_cold_start;
+  /// Returns true if a trial of the subject, which is in quarantine, may be sent now. Set by
+  /// EngineCoordinator.
+  std::function<boost::asio::awaitable<bool>(std::uint64_t subject)> confirm_crash_trial;
   /// Prompt prefixes sent to engines since the last report to the routers of this failure domain.
   std::vector<dispatch::SentPrefix> recent_prefixes;
   /// True after the directory of runners has been read once.
@@ -217,6 +224,8 @@
 /// Records that the runner has probably just started. Does nothing if the runners of its upstream
 /// are never cold.
 void ObserveCold(RouterState& state, Runner& runner, std::string_view reason);
+/// The same if it is known how long the runner stays cold.
+void ObserveCold(RouterState& state, Runner& runner, core::Duration left, std::string_view reason);
 
 /// Records that the runner is cold for `left` according to `source`: its entry or another router.
 void TellCold(RouterState& state, Runner& runner, core::Duration left, std::string_view source);
