Edge, Http: Refuse new connections that the processor cannot serve in time

One caller that sends many times its usual opens hundreds of connections, all to one router, because the platform chooses the router by a hash of the caller.

A router whose settings state its share of a core now counts the new connections whose first request it has not read yet, and refuses a connection that would wait for more than 500 ms with a 503 before it reads anything. That costs a tenth of a request, and the retry reaches another router.

The flood of test_connection_flood.py is also played on a router that knows its share.

--- a/libraries/dispatch/processor_load.cc
+++ b/libraries/dispatch/processor_load.cc
@@ -54,6 +54,12 @@
   return std::clamp(beyond, 0.0, 1.0) * kMaxShedFraction;
 }
 
+core::Duration BeyondQuotaPause(core::Duration overdue) {
+  constexpr auto kPause = std::chrono::duration<double, std::milli>(kQuotaPauseMs);
+  return std::max(overdue - std::chrono::duration_cast<core::Duration>(kPause),
+                  core::Duration::zero());
+}
+
 bool ProcessorLoad::MayAccept(core::Duration overdue, core::Duration paused) const {
   return paused >= kMaxAcceptPause ||
          std::max(this->last_lateness_ms, core::ToMilliseconds(overdue)) <= kMaxAcceptLatenessMs;
--- a/libraries/dispatch/processor_load.h
+++ b/libraries/dispatch/processor_load.h
@@ -33,6 +33,9 @@
   core::TimePoint overloaded_until{};
 };
 
+/// Returns by how much a timer is later than the pauses of a process under a quota explain.
+core::Duration BeyondQuotaPause(core::Duration overdue);
+
 }  // namespace pomelospar::dispatch
 
 #endif  // POMELOSPAR_LIBRARIES_DISPATCH_PROCESSOR_LOAD_H_
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -65,22 +65,27 @@
                             : std::make_unique<ByteStream>(std::move(socket));
     const auto limit = this->server->limits.maximum_connections;
     // A crowd that connects and sends nothing must not keep others out.
-    if (this->server->connections.size() >= limit && CloseIdlest(*this->server)) {
-      this->StartConnection(std::move(stream), executor, remote_address, false);
-      return;
-    }
+    const bool is_replaced =
+        this->server->connections.size() >= limit && CloseIdlest(*this->server);
     const auto open = this->server->connections.size();
-    // A 503 response over TLS requires a handshake, and the limit is there to bound that cost.
+    // A 503 response over TLS requires a handshake, and the limits are there to bound that cost.
     const auto refusals = std::min(kMaxConcurrentRefusals, limit / 4 + 1);
-    if (open >= limit + refusals || (open >= limit && this->tls)) return;
-    this->StartConnection(std::move(stream), executor, remote_address, open >= limit);
-  }
-
-  void StartConnection(std::unique_ptr<ByteStream> stream, const asio::any_io_executor& executor,
-                       const std::string& remote_address, bool is_refused) {
+    const bool is_beyond_limit = open >= limit && !is_replaced;
+    if (is_beyond_limit && (open >= limit + refusals || this->tls)) return;
     const auto connection = std::make_shared<ServerConnection>(this->server, std::move(stream),
                                                                executor, remote_address);
-    asio::co_spawn(executor, is_refused ? connection->Refuse() : connection->Run(),
+    if (is_beyond_limit) {
+      Spawn(connection, connection->RefuseForLimit());
+    } else if (this->options.may_serve && !this->tls && !this->options.may_serve()) {
+      Spawn(connection, connection->RefuseForLoad());
+    } else {
+      Spawn(connection, connection->Run());
+    }
+  }
+
+  static void Spawn(const std::shared_ptr<ServerConnection>& connection,
+                    asio::awaitable<void> coroutine) {
+    asio::co_spawn(connection->io_executor(), std::move(coroutine),
                    // The completion handler keeps the connection alive while its coroutine runs.
                    [connection](const std::exception_ptr&) {});
   }
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -162,9 +162,17 @@
   this->stream->Close();
 }
 
-asio::awaitable<void> ServerConnection::Refuse() {
+asio::awaitable<void> ServerConnection::RefuseForLimit() {
+  return this->Refuse({503, "too many connections; retry later"});
+}
+
+asio::awaitable<void> ServerConnection::RefuseForLoad() {
+  // The retry reaches another instance.
+  return this->Refuse({503, "too many connections at once; retry elsewhere", "0.001"});
+}
+
+asio::awaitable<void> ServerConnection::Refuse(Refusal refusal) {
   const auto self = this->shared_from_this();
-  Refusal refusal{503, "too many connections; retry later"};
   co_await this->SendRefusal(std::move(refusal));
   this->stream->Close();
 }
@@ -316,7 +324,9 @@
   HttpResponse response;
   response.status = refusal.status;
   response.headers = {{"Pomelospar-Outcome", "not_run"}, {"Content-Type", "text/plain"}};
-  if (refusal.status == 503) response.headers.push_back({"Retry-After", "1"});
+  if (refusal.status == 503) {
+    response.headers.push_back({"Retry-After", std::string(refusal.retry_after)});
+  }
   response.body = refusal.message + "\n";
   const auto sent = co_await this->Respond(std::move(response));
   if (!sent) co_return;
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -65,8 +65,10 @@
 
   /// Serves requests until the connection closes.
   boost::asio::awaitable<void> Run();
-  /// Sends a 503 response and closes. Called for a connection beyond the limit.
-  boost::asio::awaitable<void> Refuse();
+  /// Sends a 503 response and closes: for a connection beyond the limit, or for one that this
+  /// instance has no processor time for. Nothing is read before.
+  boost::asio::awaitable<void> RefuseForLimit();
+  boost::asio::awaitable<void> RefuseForLoad();
   /// Closes the connection unless it is reading or serving a request. A connection that has not
   /// served a request yet is given a short grace period first.
   void StopWhenIdle();
@@ -79,6 +81,8 @@
   std::uint64_t unfinished_bytes() const;
 
   const HttpRequest& request() const { return this->current_request; }
+  const boost::asio::any_io_executor& io_executor() const { return this->executor; }
+  bool is_first_request() const { return !this->served_a_request; }
   bool started() const { return this->phase != Phase::kNotStarted; }
   bool disconnected() const { return this->input_closed || !this->stream->is_open(); }
   bool PeerHasClosed();
@@ -97,11 +101,14 @@
   struct Refusal {
     unsigned status = 400;
     std::string message;
+    /// Value of Retry-After if the status is 503.
+    std::string_view retry_after = "1";
   };
   struct ConnectionEnd {};
   struct RequestRead {};
   using ReadOutcome = std::variant<RequestRead, ConnectionEnd, Refusal>;
 
+  boost::asio::awaitable<void> Refuse(Refusal refusal);
   boost::asio::awaitable<bool> WaitForFirstByte();
   boost::asio::awaitable<ReadOutcome> ReadRequest();
   boost::asio::awaitable<bool> WaitForMoreInput();
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -12,6 +12,8 @@
 
 const HttpRequest& ServerExchange::request() const { return this->connection.request(); }
 
+bool ServerExchange::is_first_request() const { return this->connection.is_first_request(); }
+
 bool ServerExchange::started() const { return this->connection.started(); }
 
 bool ServerExchange::disconnected() const { return this->connection.disconnected(); }
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -29,6 +29,8 @@
   ServerExchange& operator=(const ServerExchange&) = delete;
 
   const HttpRequest& request() const;
+  /// True if the connection has carried no request before.
+  bool is_first_request() const;
   /// True once a response has been started.
   bool started() const;
   /// True once the caller has closed its connection or the response was aborted.
--- a/libraries/http/server_options.h
+++ b/libraries/http/server_options.h
@@ -51,6 +51,9 @@
   /// returns false, new connections wait in the listen queue of the system. If null, connections
   /// are always accepted.
   std::function<bool(core::Duration)> may_accept;
+  /// Called for each accepted connection. If it returns false, the connection is refused at once
+  /// with 503, before anything is read from it. If null, all are served.
+  std::function<bool()> may_serve;
   /// The handler does not need the bodies: they are read and dropped.
   bool drop_bodies = false;
 };
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -86,7 +86,10 @@
            {.idle_per_address = kMaxIdleConnectionsPerRunner, .idle_timeout = kIdleTimeout}),
       store(this->io, this->state.settings.store_address),
       signals(this->io, SIGTERM, SIGINT, SIGHUP),
-      tick_timer(this->io) {}
+      tick_timer(this->io),
+      refused_connections(this->state.metrics.FindCounter(
+          "pomelospar_refused_connections_total",
+          "Connections refused because this router had no processor time for another one.", {})) {}
 
 core::Result<std::unique_ptr<Edge>> Edge::Create(std::string settings_path,
                                                  std::string settings_document,
@@ -108,7 +111,8 @@
       http::HttpServer::Create(
           this->io,
           {.address = settings.caller_address,
-           .may_accept = [this](core::Duration paused) { return this->MayAccept(paused); }},
+           .may_accept = [this](core::Duration paused) { return this->MayAccept(paused); },
+           .may_serve = [this] { return this->MayServe(); }},
           [this](http::ServerExchange& exchange) { return this->Serve(exchange); }));
   BOOST_OUTCOME_TRY(
       this->readiness_server,
@@ -130,6 +134,7 @@
 
 void Edge::ApplyCallerLimits() {
   const auto& settings = this->state.settings;
+  this->backlog.SetProcessorShare(settings.processor_share);
   http::ServerLimits limits;
   if (this->state.policy) {
     const auto& declared = this->state.policy->limits;
@@ -319,6 +324,14 @@
   return this->state.stop || this->state.processor.MayAccept(this->TickOverdue(), paused);
 }
 
+bool Edge::MayServe() {
+  if (this->state.stop) return true;
+  const auto now = this->state.clock.now();
+  if (this->backlog.TryAdd(now, dispatch::BeyondQuotaPause(this->TickOverdue()))) return true;
+  this->refused_connections.Add();
+  return false;
+}
+
 // Spreads the refusals evenly over the requests instead of drawing them at random.
 bool Edge::MustShedNext() {
   this->shed_accumulator += this->state.processor.ShedFraction(this->TickOverdue());
@@ -328,6 +341,7 @@
 }
 
 asio::awaitable<void> Edge::Serve(http::ServerExchange& exchange) {
+  if (exchange.is_first_request()) this->backlog.OnFirstRequest(this->state.clock.now());
   if (this->MustShedNext()) {
     // Copied, because the request is no longer valid after the response.
     const std::string attempt_id(adapter::AttemptIdOf(exchange.request()));
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -11,10 +11,10 @@
 
 #include "libraries/core/buffered_log.h"
 #include "libraries/core/result.h"
+#include "libraries/dispatch/connection_backlog.h"
 #include "libraries/http/http_server.h"
 #include "libraries/http/upstream_pool.h"
 #include "platform/settings.h"
-#include "platform/store_client.h"
 #include "services/pomelospar_edge/engine_coordinator.h"
 #include "services/pomelospar_edge/peer_exchange.h"
 #include "services/pomelospar_edge/request_session.h"
@@ -55,6 +55,9 @@
   core::Duration TickOverdue() const;
   /// Returns true if caller connections may be accepted after a pause of accepting of this length.
   bool MayAccept(core::Duration paused) const;
+  /// Returns false if a connection that was just accepted is refused, because its request would
+  /// wait for processor time.
+  bool MayServe();
   /// Returns true if the next request is to be refused because the process is overloaded.
   bool MustShedNext();
   boost::asio::awaitable<void> Serve(http::ServerExchange& exchange);
@@ -87,6 +90,8 @@
   bool was_ready = false;
   /// Sum of the shares of requests to refuse, less one for each refused request.
   double shed_accumulator = 0.0;
+  dispatch::ConnectionBacklog backlog;
+  metrics::Counter refused_connections;
 };
 
 }  // namespace pomelospar::edge
--- a/tests/system/test_connection_flood.py
+++ b/tests/system/test_connection_flood.py
@@ -80,5 +80,14 @@
             writer.close()
 
 
+class KnownShareTest(ConnectionFloodTest):
+    # The same for a router that knows its part of a core and refuses connections before it reads from them.
+    processor_share = QUOTA_SECONDS / PERIOD_SECONDS
+
+    def test_every_caller_is_answered_before_its_deadline(self):
+        super().test_every_caller_is_answered_before_its_deadline()
+        self.assertGreater(self.router.metric("pomelospar_refused_connections_total"), 0)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
