Dispatch: Do not add the delays of reports to the age of a quarantine

Sound requests that were in quarantine would be refused for longer than ten minutes, and their trials would come later than after 5 s.

Cause: a router tells how long ago the latest crash or trial was, and the receiver subtracts that from its own time, so the time looks later by the delay of the report. Each router took the latest of these times and told it again, so every report between two routers added its delay. With many routers one of them reports every few milliseconds, which is about as long as the delay itself.

A told time that is less than a second later than the known one is now the known one. Crashes that a router records are not affected, and trials are at least 5 s apart.

Evidence: DoesNotAddTheDelaysOfReports (reports 1 ms late every 3 ms) had no trial due 5 s after the last crash before; with this change it has.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -42,6 +42,10 @@
 // Requests that were sent before the quarantine crash their runners within this time; a later crash
 // is that of a trial. Times that other routers tell are late by less than this.
 constexpr core::Duration kCrashesInFlight = seconds(2);
+// A report says how old a time was when it was written, so the time looks later by the delay of each
+// report that passed it on. A told time that is later by less than this is the known one; trials are
+// further apart.
+constexpr core::Duration kToldTimeLateness = seconds(1);
 
 core::Duration TrialDelay(std::uint64_t failed_trials) {
   return kTrialDelays[std::min<std::uint64_t>(failed_trials, kTrialDelays.size() - 1)];
@@ -203,12 +207,12 @@
     return;
   }
   auto& suspect = this->suspects[told.subject];
-  const bool is_newer = !suspect.told_last || last > *suspect.told_last;
+  const bool is_newer = !suspect.told_last || last > *suspect.told_last + kToldTimeLateness;
   if (is_newer || told.failed_trials > suspect.told_failed_trials) {
     suspect.told_last = is_newer ? last : *suspect.told_last;
     suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
   }
-  suspect.last = std::max(suspect.last, last);
+  if (last > suspect.last + kToldTimeLateness) suspect.last = last;
 }
 
 unsigned CrashSuspects::MomentsNeeded(std::uint64_t subject) const {
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 #include "libraries/core/clock.h"
@@ -240,6 +241,24 @@
   EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
 }
 
+// Each report arrives some time after its ages were written. In a fleet of many routers one of them
+// reports every few milliseconds; a time that grew by these delays would stay recent for ever.
+TEST_F(CrashSuspectsTest, DoesNotAddTheDelaysOfReports) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  const auto last = this->clock.now();
+  std::array<CrashSuspects*, 2> routers = {&this->local, &this->remote};
+  while (this->clock.now() - last < seconds(5)) {
+    const auto news = routers[0]->TakeNews(this->clock.now());
+    this->clock.Advance(milliseconds(1));
+    routers[1]->Apply(this->clock.now(), news);
+    this->clock.Advance(milliseconds(2));
+    std::swap(routers[0], routers[1]);
+  }
+  this->clock.Advance(milliseconds(10));
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kTrial);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kTrial);
+}
+
 // A suspicion must end when nothing confirms it.
 TEST_F(CrashSuspectsTest, ExpiresSuspicionsAndQuarantines) {
   this->Crash(this->local, 1, {7});
