Dispatch: End a quarantine by an answer also if it is told late

A subject whose trial was answered could stay in quarantine at all routers until the next trial, up to ten minutes later.

Cause: the time of the trial looks later by the delay of the reports that tell it. If the delay is longer than the trial took, the trial looks later than its answer, so the answer did not end the told quarantine, and routers that had heard of the answer adopted the quarantine again.

An answer now also ends a told quarantine whose time is less than a second later, the bound for times that reports pass on. Crashes that a router has recorded are compared as before.

Evidence: EndsAQuarantineThatIsToldLate, an answer 20 ms after the trial and a report that is 50 ms late: both routers refused the subject before, none does now.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -43,8 +43,8 @@
 // is that of a trial. Times that other routers tell are late by less than this.
 constexpr core::Duration kCrashesInFlight = seconds(2);
 // A report says how old a time was when it was written, so the time looks later by the delay of each
-// report that passed it on. A told time that is later by less than this is the known one; trials are
-// further apart.
+// report that passed it on. A told time that is later by less than this is the known one, and not
+// after an answer; trials are further apart.
 constexpr core::Duration kToldTimeLateness = seconds(1);
 
 core::Duration TrialDelay(std::uint64_t failed_trials) {
@@ -167,7 +167,7 @@
   if (found == this->suspects.end()) return;
   auto& suspect = found->second;
   std::erase_if(suspect.crashes, [&](const Crash& crash) { return crash.at <= at; });
-  if (suspect.last <= at) suspect.told_last.reset();
+  if (suspect.told_last && *suspect.told_last <= at + kToldTimeLateness) suspect.told_last.reset();
   // An empty suspect stays until `Update`, which tells that its quarantine has ended.
 }
 
@@ -198,7 +198,7 @@
   if (told.age >= kQuarantineRetention) return;
   const auto last = now - told.age;
   const auto answered = this->answers.Find(told.subject);
-  if (answered && *answered >= last) {
+  if (answered && *answered + kToldTimeLateness >= last) {
     this->QueueAcquittal(now, told.subject);
     return;
   }
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -259,6 +259,27 @@
   EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kTrial);
 }
 
+// The quarantine is told by late reports while the request of its trial is answered. The answer is
+// newer, although the told time looks later by the delay.
+TEST_F(CrashSuspectsTest, EndsAQuarantineThatIsToldLate) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  this->Report(this->local, this->remote);
+  this->clock.Advance(seconds(5));
+  EXPECT_TRUE(this->local.TryGrantTrial(this->clock.now(), 7));
+  const auto late_news = this->local.TakeNews(this->clock.now());
+  this->clock.Advance(milliseconds(20));
+  this->Answer(this->local, 7);
+  CrashSuspects third;
+  this->clock.Advance(milliseconds(30));
+  third.Apply(this->clock.now(), late_news);
+  const auto acquittal = this->local.TakeNews(this->clock.now());
+  for (auto* router : {&this->remote, &third}) {
+    router->Apply(this->clock.now(), acquittal);
+    router->Apply(this->clock.now(), late_news);
+    EXPECT_EQ(this->Verdict(*router, 7), SuspectVerdict::kAllowed);
+  }
+}
+
 // A suspicion must end when nothing confirms it.
 TEST_F(CrashSuspectsTest, ExpiresSuspicionsAndQuarantines) {
   this->Crash(this->local, 1, {7});
