Dispatch: Grant a trial also of what only the asking router refuses

A request that had crashed runners, or stood beside one that did, could be refused for as long as its caller repeated it, although it had become sound.

Cause: the coordinator granted a trial only of a subject that it held in quarantine itself. A quarantine lasts ten minutes after the latest refused request, which only the router that gets the requests sees, and after two failed trials the next one is due after ten minutes. By then a coordinator without such requests has ended the quarantine, and denied every trial. The same holds for a coordinator that knows a worse suspect which explains the crashes, while a restarted router knows only what it was told.

When a trial is due is still judged by the asking router.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -301,7 +301,14 @@
 }
 
 bool CrashSuspects::TryGrantTrial(core::TimePoint now, std::uint64_t subject) {
-  if (this->VerdictFor(now, subject) != SuspectVerdict::kTrial) return false;
+  const auto verdict = this->VerdictFor(now, subject);
+  if (verdict == SuspectVerdict::kRefused) return false;
+  // What is not in quarantine here has no time of its latest trial.
+  const auto granted = this->granted_trials.Find(subject);
+  if (verdict == SuspectVerdict::kAllowed && granted && now - *granted < kTrialDelays.front()) {
+    return false;
+  }
+  this->granted_trials.Record(subject, now);
   this->BeginTrial(now, subject);
   return true;
 }
--- a/libraries/dispatch/crash_suspects.h
+++ b/libraries/dispatch/crash_suspects.h
@@ -125,7 +125,8 @@
   /// Returns whether a request with the subject may be sent now.
   SuspectVerdict VerdictFor(core::TimePoint now, std::uint64_t subject) const;
   /// Call at the subject's coordinator, the one router that grants its trials. Returns true if a
-  /// trial is due, and counts it as begun.
+  /// trial is due, and counts it as begun. A subject that this router does not refuse may still be
+  /// in quarantine at the router that asks, so its trials are granted too, one at a time.
   bool TryGrantTrial(core::TimePoint now, std::uint64_t subject);
   /// Call when the coordinator has granted a trial, right before the request is sent.
   void BeginTrial(core::TimePoint now, std::uint64_t subject);
@@ -212,6 +213,8 @@
   /// Times of the latest complete answers.
   RecentSubjects answers;
   RecentSubjects sent_acquittals;
+  /// Times of the latest trials that this router granted.
+  RecentSubjects granted_trials;
   std::vector<PendingSuspicion> pending_suspicions;
   std::vector<PendingAcquittal> pending_acquittals;
   std::uint64_t dropped_suspicions = 0;
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -280,6 +280,27 @@
   }
 }
 
+// The coordinator may have ended a quarantine that another router still keeps, because it has seen
+// no refused request since or because it knows a worse suspect. If it granted no trial, the subject
+// would be refused there for as long as requests come.
+TEST_F(CrashSuspectsTest, GrantsATrialOfWhatOnlyTheOtherRouterRefuses) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  this->Report(this->local, this->remote);
+  static_cast<void>(this->local.Update(this->clock.now()));
+  static_cast<void>(this->remote.Update(this->clock.now()));
+  this->clock.Advance(CrashSuspects::kQuarantineRetention - seconds(1));
+  this->local.OnRefused(this->clock.now(), 7);
+  this->clock.Advance(seconds(2));
+  static_cast<void>(this->local.Update(this->clock.now()));
+  static_cast<void>(this->remote.Update(this->clock.now()));
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kTrial);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
+  EXPECT_TRUE(this->remote.TryGrantTrial(this->clock.now(), 7));
+  // Two routers that ask at once still get one trial.
+  this->clock.Advance(milliseconds(100));
+  EXPECT_FALSE(this->remote.TryGrantTrial(this->clock.now(), 7));
+}
+
 // A suspicion must end when nothing confirms it.
 TEST_F(CrashSuspectsTest, ExpiresSuspicionsAndQuarantines) {
   this->Crash(this->local, 1, {7});
