Dispatch: Count a failed trial also if its beginning is told after its crash

After a restart of all routers a request that crashes runners could get its next trial a minute after a failed one, where ten minutes are due.

Cause: a router that was told of a quarantine adds to the told number of failed trials the crashes later than 2 s after the told time. The coordinator's report of the beginning of a trial may arrive when the crash of that trial is already recorded. It sets the told time to the beginning with the old number, and the crash, within 2 s of it, was no longer counted.

The crashes known so far are now added to the number before the told time moves on.

Evidence: KeepsFailedTrialsWhenTheirBeginningIsTold, a crash 20 ms after the trial began and the report of the beginning after it: a trial was due after two minutes before, none is now.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -209,6 +209,8 @@
   auto& suspect = this->suspects[told.subject];
   const bool is_newer = !suspect.told_last || last > *suspect.told_last + kToldTimeLateness;
   if (is_newer || told.failed_trials > suspect.told_failed_trials) {
+    // The crashes before a newer time are counted now. The report may be older than the latest.
+    if (is_newer) suspect.told_failed_trials = FailedTrials(suspect);
     suspect.told_last = is_newer ? last : *suspect.told_last;
     suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
   }
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -301,6 +301,29 @@
   EXPECT_FALSE(this->remote.TryGrantTrial(this->clock.now(), 7));
 }
 
+// Routers that know a quarantine only from others must count a failed trial also if its beginning is
+// told after its crash. Otherwise a request that crashes runners gets the next trial too early.
+TEST_F(CrashSuspectsTest, KeepsFailedTrialsWhenTheirBeginningIsTold) {
+  const SuspectNews news = {.quarantines = {{.subject = 7, .failed_trials = 1, .age = minutes(2)}}};
+  this->clock.Advance(minutes(10));
+  CrashSuspects third;
+  for (auto* router : {&this->local, &this->remote, &third}) {
+    router->Apply(this->clock.now(), news);
+    static_cast<void>(router->Update(this->clock.now()));
+  }
+  this->clock.Advance(seconds(1));
+  EXPECT_TRUE(this->local.TryGrantTrial(this->clock.now(), 7));
+  const auto begun = this->local.TakeNews(this->clock.now());
+  this->CrashAfter(this->remote, 9, milliseconds(20));
+  this->clock.Advance(milliseconds(40));
+  this->Report(this->remote, third);
+  this->remote.Apply(this->clock.now(), begun);
+  third.Apply(this->clock.now(), begun);
+  this->clock.Advance(minutes(2));
+  EXPECT_TRUE(this->IsRefused(this->remote, 7));
+  EXPECT_TRUE(this->IsRefused(third, 7));
+}
+
 // A suspicion must end when nothing confirms it.
 TEST_F(CrashSuspectsTest, ExpiresSuspicionsAndQuarantines) {
   this->Crash(this->local, 1, {7});
