Dispatch: Bound the number of failed trials that another router tells

A told number of failed trials near the largest one, together with a crash that this router records, overflowed to 0, so the next trial of a request that crashes runners was due after 5 s instead of ten minutes.

The number is now bounded by the number of delays between trials; more failed trials change nothing.

Evidence: BoundsTheNumberOfFailedTrialsThatIsTold failed before.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -212,7 +212,9 @@
     // The crashes before a newer time are counted now. The report may be older than the latest.
     if (is_newer) suspect.told_failed_trials = FailedTrials(suspect);
     suspect.told_last = is_newer ? last : *suspect.told_last;
-    suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
+    // More failed trials than there are delays change nothing, but could overflow.
+    const auto told_failed = std::min<std::uint64_t>(told.failed_trials, kTrialDelays.size());
+    suspect.told_failed_trials = std::max(suspect.told_failed_trials, told_failed);
   }
   if (last > suspect.last + kToldTimeLateness) suspect.last = last;
 }
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -324,6 +324,19 @@
   EXPECT_TRUE(this->IsRefused(third, 7));
 }
 
+// A number of failed trials that overflows would make the next trial due at once.
+TEST_F(CrashSuspectsTest, BoundsTheNumberOfFailedTrialsThatIsTold) {
+  const SuspectNews news = {.quarantines = {{.subject = 7,
+                                             .failed_trials = ~std::uint64_t{0},
+                                             .age = seconds(0)}}};
+  this->clock.Advance(minutes(10));
+  this->local.Apply(this->clock.now(), news);
+  this->clock.Advance(seconds(3));
+  this->Crash(this->local, 9, {7});
+  this->clock.Advance(minutes(2));
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+}
+
 // A suspicion must end when nothing confirms it.
 TEST_F(CrashSuspectsTest, ExpiresSuspicionsAndQuarantines) {
   this->Crash(this->local, 1, {7});
