Edge: Do not take a warm runner for cold when the queries are taken over

Callers would wait or be refused for some seconds after the end of the router that queries the store for the others: runners that had been warm for long got only the few requests of cold ones, at all routers.

Cause: an entry that is read with a newer version and no other difference counts as written again just now. A router that is told of the entries by others knows their content, but not their versions; when it takes over the queries, it reads every entry written since its last own read, and reported each with a time to be cold as cold again.

Only a router that also made the read before for the others concludes that from the version. An entry written again between the last query of one router and the first of the next is not noticed.

Evidence: test_a_router_that_takes_over_the_queries_knows_a_warm_runner failed before (a second runner_cold at the takeover, 2 s after the runner was warm); it passes, and so does test_an_entry_that_is_written_again_starts_the_cold_time_again.

--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -32,6 +32,9 @@
   const auto rank = this->Rank();
   if (this->is_store_poller == (rank == 0)) return rank;
   this->is_store_poller = rank == 0;
+  for (auto* watch : {&this->policy_watch, &this->runner_watch, &this->router_watch}) {
+    watch->was_poller = false;
+  }
   this->router.log.Write(LogLevel::kInfo, "store_role",
                          {{"asks_for_others", rank == 0},
                           {"rank", std::uint64_t{rank}},
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -207,7 +207,8 @@
       watch.apply(rows.value(), whole, asked_at);
       whole = false;
       this->UpdateRole();
-      const bool first = !watch.relayed || this->is_store_poller.value_or(false);
+      watch.was_poller = this->is_store_poller.value_or(false);
+      const bool first = !watch.relayed || watch.was_poller;
       watch.timer.expires_after(first ? watch.pause : watch.follower_pause);
     } else {
       if (core::Is(rows.error(), core::ErrorKind::kNotFound)) {
@@ -367,13 +368,15 @@
 }
 
 // A runner that becomes cold again may write its entry anew without any difference. The other
-// routers are not told of such a write, so this one reports that the runner is cold.
+// routers are not told of such a write, so the one that queries for them reports that the runner is
+// cold. Another router may read the entry long after it was written.
 void StoreSync::RecordEntryVersion(const adapter::StoreRow& row, bool is_changed) {
   const auto found = this->router.runners.find(row.key);
   if (found == this->router.runners.end() || row.version <= found->second->entry_version) return;
   auto& runner = *found->second;
   const bool is_known = std::exchange(runner.entry_version, row.version) != 0;
-  if (is_known && !is_changed && runner.record.cold_left_ms > 0) {
+  if (!is_known || !this->runner_watch.was_poller) return;
+  if (!is_changed && runner.record.cold_left_ms > 0) {
     ObserveCold(this->router, runner, milliseconds(runner.record.cold_left_ms), "entry_written");
   }
 }
--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -154,6 +154,26 @@
         self.platform.put("servers", runner.identifier, runner.entry())
         self.assertTrue(until(lambda: len(self.cold_lines(self.router, runner)) == 2, 2))
 
+    # Guards against a warm runner that is taken for cold, because a router that was told of its entry reads
+    # it in the store only when it takes over the queries from another router.
+    def test_a_router_that_takes_over_the_queries_knows_a_warm_runner(self):
+        second = Router(self.platform.store_port, "127.0.0.2")
+        self.addCleanup(second.end)
+        self.assertTrue(until(second.is_ready, 5))
+        time.sleep(3)
+        runner = self.home[1]
+        runner.born += 1000
+        runner.cold_left_ms = 1000
+        self.platform.put("servers", runner.identifier, runner.entry())
+        self.assertTrue(until(lambda: self.cold_lines(second, runner), 2))
+        time.sleep(2)
+        known = len(self.cold_lines(second, runner))
+        self.router.process.kill()
+        self.router.process.wait()
+        self.assertTrue(until(lambda: any(line.get("asks_for_others") for line in second.log_lines()), 5))
+        time.sleep(2)
+        self.assertEqual(len(self.cold_lines(second, runner)), known)
+
     # Guards against a router that is missing among the listed routers for ever after its row was removed.
     def test_a_router_adds_its_row_again(self):
         row = ("pomelospar", "router/127.0.0.1")
