Edge: Check all subjects again after the question for a trial

A part that crashes runners could reach two of them in two trials at one time.

Cause: the trial of one subject is confirmed by its coordinator, which takes a round trip. Meanwhile another request may get the trial of another subject of this request, which is then refused. The loop over the subjects asked only for those that were due a trial and let a refused one pass.

After each grant no subject may be refused, except those that were granted to this request. The loop is a function of its own, so that it can be tested without a request.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -42,9 +42,9 @@
 // Requests that were sent before the quarantine crash their runners within this time; a later crash
 // is that of a trial. Times that other routers tell are late by less than this.
 constexpr core::Duration kCrashesInFlight = seconds(2);
-// A report says how old a time was when it was written, so the time looks later by the delay of each
-// report that passed it on. A told time that is later by less than this is the known one, and not
-// after an answer; trials are further apart.
+// A report says how old a time was when it was written, so the time looks later by the delay of
+// each report that passed it on. A told time that is later by less than this is the known one, and
+// not after an answer; trials are further apart.
 constexpr core::Duration kToldTimeLateness = seconds(1);
 
 core::Duration TrialDelay(std::uint64_t failed_trials) {
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -147,8 +147,6 @@
   /// Returns true if runners have crashed under the request or under a part of its prompt, so that
   /// it must not be sent.
   bool IsRefusedAsSuspect() const;
-  /// Asks for a trial of each subject that is in quarantine. Returns false if one is refused.
-  boost::asio::awaitable<bool> MaySendAsSuspect();
   /// If the latest attempt was interrupted, and runners crashed under this request before, returns
   /// when it is known whether the runner crashed again. A retry at once would take another runner
   /// down before the crash counts.
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "libraries/core/milliseconds.h"
+#include "services/pomelospar_edge/crash_trials.h"
 #include "services/pomelospar_edge/domain_traffic.h"
 #include "services/pomelospar_edge/request_session.h"
 
@@ -133,19 +134,6 @@
   });
 }
 
-asio::awaitable<bool> RequestSession::MaySendAsSuspect() {
-  if (this->IsRefusedAsSuspect()) co_return false;
-  for (const auto subject : this->subjects) {
-    if (this->VerdictFor(subject) != SuspectVerdict::kTrial) continue;
-    const bool is_granted = co_await this->state.confirm_crash_trial(subject);
-    if (!is_granted) co_return false;
-    this->state.log.Write(
-        LogLevel::kWarning, "crash_trial",
-        {{"request", this->facts.attempt_id}, {"subject", fmt::format("{:x}", subject)}});
-  }
-  co_return true;
-}
-
 asio::awaitable<void> RequestSession::AwaitCrashProbe() {
   if (!this->interrupted_crash || this->subjects.empty()) co_return;
   if (this->state.suspects.CrashesOf(this->subjects.front()) == 0) co_return;
@@ -211,7 +199,7 @@
   }
   auto connection = std::move(acquired.value());
   this->used_connections.push_back(connection->id());
-  const bool may_send = co_await this->MaySendAsSuspect();
+  const bool may_send = co_await ConfirmTrials(this->state, this->subjects, this->facts.attempt_id);
   if (!may_send) {
     this->failure = kCrashedRunners;
     this->pool.Release(std::move(connection));
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -74,7 +74,8 @@
     /// The same time as `regained_at`, by the store's steady clock.
     std::optional<core::Duration> regained_stamp;
     bool failing = false;
-    /// True if this router queried for the others when it read the table last and has done so since.
+    /// True if this router queried for the others when it read the table last and has done so
+    /// since.
     bool was_poller = false;
   };
 
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -301,8 +301,8 @@
   EXPECT_FALSE(this->remote.TryGrantTrial(this->clock.now(), 7));
 }
 
-// Routers that know a quarantine only from others must count a failed trial also if its beginning is
-// told after its crash. Otherwise a request that crashes runners gets the next trial too early.
+// Routers that know a quarantine only from others must count a failed trial also if its beginning
+// is told after its crash. Otherwise a request that crashes runners gets the next trial too early.
 TEST_F(CrashSuspectsTest, KeepsFailedTrialsWhenTheirBeginningIsTold) {
   const SuspectNews news = {.quarantines = {{.subject = 7, .failed_trials = 1, .age = minutes(2)}}};
   this->clock.Advance(minutes(10));
@@ -326,9 +326,8 @@
 
 // A number of failed trials that overflows would make the next trial due at once.
 TEST_F(CrashSuspectsTest, BoundsTheNumberOfFailedTrialsThatIsTold) {
-  const SuspectNews news = {.quarantines = {{.subject = 7,
-                                             .failed_trials = ~std::uint64_t{0},
-                                             .age = seconds(0)}}};
+  const SuspectNews news = {
+      .quarantines = {{.subject = 7, .failed_trials = ~std::uint64_t{0}, .age = seconds(0)}}};
   this->clock.Advance(minutes(10));
   this->local.Apply(this->clock.now(), news);
   this->clock.Advance(seconds(3));
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -15,6 +15,7 @@
 #include "libraries/dispatch/evacuations.h"
 #include "libraries/http/byte_stream.h"
 #include "libraries/wire/fleet_keys.h"
+#include "services/pomelospar_edge/crash_trials.h"
 #include "services/pomelospar_edge/engine_coordinator.h"
 #include "services/pomelospar_edge/event_splitter.h"
 #include "services/pomelospar_edge/held_bytes.h"
@@ -418,6 +419,40 @@
   EXPECT_TRUE(is_granted());
 }
 
+// Guards against two trials of a part at the same time: another request with it may get its trial
+// while this one still asks for that of another part.
+TEST(ConfirmTrialsTest, RefusesWhatIsRefusedMeanwhile) {
+  boost::asio::io_context io;
+  core::ManualClock clock;
+  core::BufferedLog log(-1, clock.clock());
+  RouterState state(io, clock.clock(), {}, log);
+  const std::vector<std::uint64_t> subjects = {1, 2};
+  for (std::uint64_t crash = 0; crash < 3; ++crash) {
+    clock.Advance(std::chrono::seconds(1));
+    state.suspects.RecordLocalCrash(clock.now(), crash, subjects);
+  }
+  clock.Advance(std::chrono::seconds(6));
+  const auto confirm = [&] {
+    bool granted = false;
+    boost::asio::co_spawn(io, ConfirmTrials(state, subjects, "r-1"),
+                          [&](const std::exception_ptr&, bool result) { granted = result; });
+    io.restart();
+    io.poll();
+    return granted;
+  };
+  state.confirm_crash_trial = [&](std::uint64_t) -> boost::asio::awaitable<bool> {
+    state.suspects.BeginTrial(clock.now(), 1);
+    state.suspects.BeginTrial(clock.now(), 2);
+    co_return true;
+  };
+  EXPECT_FALSE(confirm());
+  clock.Advance(std::chrono::seconds(6));
+  state.confirm_crash_trial = [&](std::uint64_t subject) -> boost::asio::awaitable<bool> {
+    co_return state.suspects.TryGrantTrial(clock.now(), subject);
+  };
+  EXPECT_TRUE(confirm());
+}
+
 // Guards against requests that were refused before and are placed ahead of requests that can still
 // meet their objective.
 TEST(WaitQueueTest, TriesCallerRetriesLastAndOthersInOrderOfArrival) {
