Edge: Bound the wait for the result of a crash probe

A request under which runners had crashed before could wait until its deadline at a runner that keeps breaking connections, while other runners could have served its retry.

Cause: the wait ended when no interrupted request of the runner's run was recorded any more. A runner that still listens is probed, and each further broken connection begins another probe at once. With many requests the waiting one, which looks every 5 ms, never finds the gap between two probes.

The wait is now limited to the time that one probe takes, 220 ms. It is a function of its own, so that it can be tested without a request.

Evidence: DoesNotWaitForLaterProbes failed with the loop as it was.

--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "libraries/core/milliseconds.h"
+#include "services/pomelospar_edge/crash_probe.h"
 #include "services/pomelospar_edge/crash_trials.h"
 #include "services/pomelospar_edge/domain_traffic.h"
 #include "services/pomelospar_edge/request_session.h"
@@ -44,10 +45,6 @@
 // it is larger or slower than this.
 constexpr std::size_t kMaxDiscardedBytes = 64U << 10U;
 constexpr core::Duration kMaxDiscardTime = milliseconds(100);
-// This time after its connections broke, a crashed process has also closed its listening socket.
-constexpr core::Duration kCrashProbeDelay = milliseconds(20);
-constexpr core::Duration kCrashProbeTimeout = milliseconds(200);
-constexpr core::Duration kCrashProbePoll = milliseconds(5);
 // A connection is reused until this time before the runner's idle timeout, which could otherwise
 // run out while the next request is on its way.
 constexpr core::Duration kIdleTimeoutMargin = milliseconds(1000);
@@ -137,11 +134,7 @@
 asio::awaitable<void> RequestSession::AwaitCrashProbe() {
   if (!this->interrupted_crash || this->subjects.empty()) co_return;
   if (this->state.suspects.CrashesOf(this->subjects.front()) == 0) co_return;
-  asio::steady_timer timer(this->state.io);
-  while (this->state.interrupted_requests.contains(*this->interrupted_crash)) {
-    timer.expires_after(kCrashProbePoll);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
+  co_await AwaitProbe(this->state, *this->interrupted_crash);
 }
 
 RequestSession::Refusal RequestSession::SuspectRefusal() {
--- a/tests/services/edge_parts_test.cc
+++ b/tests/services/edge_parts_test.cc
@@ -15,6 +15,7 @@
 #include "libraries/dispatch/evacuations.h"
 #include "libraries/http/byte_stream.h"
 #include "libraries/wire/fleet_keys.h"
+#include "services/pomelospar_edge/crash_probe.h"
 #include "services/pomelospar_edge/crash_trials.h"
 #include "services/pomelospar_edge/engine_coordinator.h"
 #include "services/pomelospar_edge/event_splitter.h"
@@ -453,6 +454,21 @@
   EXPECT_TRUE(confirm());
 }
 
+// Guards against a request that waits without end at a runner that breaks connections all the time:
+// each of them begins another probe.
+TEST(AwaitProbeTest, DoesNotWaitForLaterProbes) {
+  boost::asio::io_context io;
+  const core::Clock clock;
+  core::BufferedLog log(-1, clock);
+  RouterState state(io, clock, {}, log);
+  state.interrupted_requests.try_emplace(1);
+  bool is_done = false;
+  boost::asio::co_spawn(io, AwaitProbe(state, 1),
+                        [&](const std::exception_ptr&) { is_done = true; });
+  io.run_for(2 * (kCrashProbeDelay + kCrashProbeTimeout));
+  EXPECT_TRUE(is_done);
+}
+
 // Guards against requests that were refused before and are placed ahead of requests that can still
 // meet their objective.
 TEST(WaitQueueTest, TriesCallerRetriesLastAndOthersInOrderOfArrival) {
