--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -42,6 +42,10 @@
 // Requests that were sent before the quarantine crash their runners within this time; a later crash
 // is that of a trial. Times that other routers tell are late by less than this.
 constexpr core::Duration kCrashesInFlight = seconds(2);
+// A report says how old a time was when it was written, so the time looks later by the delay of
+// each report that passed it on. A told time that is later by less than this is the known one, and
+// not after an answer; trials are further apart.
+constexpr core::Duration kToldTimeLateness = seconds(1);
 
 core::Duration TrialDelay(std::uint64_t failed_trials) {
   return kTrialDelays[std::min<std::uint64_t>(failed_trials, kTrialDelays.size() - 1)];
@@ -163,7 +167,7 @@
   if (found == this->suspects.end()) return;
   auto& suspect = found->second;
   std::erase_if(suspect.crashes, [&](const Crash& crash) { return crash.at <= at; });
-  if (suspect.last <= at) suspect.told_last.reset();
+  if (suspect.told_last && *suspect.told_last <= at + kToldTimeLateness) suspect.told_last.reset();
   // An empty suspect stays until `Update`, which tells that its quarantine has ended.
 }
 
@@ -194,7 +198,7 @@
   if (told.age >= kQuarantineRetention) return;
   const auto last = now - told.age;
   const auto answered = this->answers.Find(told.subject);
-  if (answered && *answered >= last) {
+  if (answered && *answered + kToldTimeLateness >= last) {
     this->QueueAcquittal(now, told.subject);
     return;
   }
@@ -203,12 +207,16 @@
     return;
   }
   auto& suspect = this->suspects[told.subject];
-  const bool is_newer = !suspect.told_last || last > *suspect.told_last;
+  const bool is_newer = !suspect.told_last || last > *suspect.told_last + kToldTimeLateness;
   if (is_newer || told.failed_trials > suspect.told_failed_trials) {
+    // The crashes before a newer time are counted now. The report may be older than the latest.
+    if (is_newer) suspect.told_failed_trials = FailedTrials(suspect);
     suspect.told_last = is_newer ? last : *suspect.told_last;
-    suspect.told_failed_trials = std::max(suspect.told_failed_trials, told.failed_trials);
+    // More failed trials than there are delays change nothing, but could overflow.
+    const auto told_failed = std::min<std::uint64_t>(told.failed_trials, kTrialDelays.size());
+    suspect.told_failed_trials = std::max(suspect.told_failed_trials, told_failed);
   }
-  suspect.last = std::max(suspect.last, last);
+  if (last > suspect.last + kToldTimeLateness) suspect.last = last;
 }
 
 unsigned CrashSuspects::MomentsNeeded(std::uint64_t subject) const {
@@ -297,7 +305,14 @@
 }
 
 bool CrashSuspects::TryGrantTrial(core::TimePoint now, std::uint64_t subject) {
-  if (this->VerdictFor(now, subject) != SuspectVerdict::kTrial) return false;
+  const auto verdict = this->VerdictFor(now, subject);
+  if (verdict == SuspectVerdict::kRefused) return false;
+  // What is not in quarantine here has no time of its latest trial.
+  const auto granted = this->granted_trials.Find(subject);
+  if (verdict == SuspectVerdict::kAllowed && granted && now - *granted < kTrialDelays.front()) {
+    return false;
+  }
+  this->granted_trials.Record(subject, now);
   this->BeginTrial(now, subject);
   return true;
 }
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -16,6 +16,8 @@
 #include <utility>
 
 #include "libraries/core/milliseconds.h"
+#include "services/pomelospar_edge/crash_probe.h"
+#include "services/pomelospar_edge/crash_trials.h"
 #include "services/pomelospar_edge/domain_traffic.h"
 #include "services/pomelospar_edge/request_session.h"
 
@@ -43,10 +45,6 @@
 // it is larger or slower than this.
 constexpr std::size_t kMaxDiscardedBytes = 64U << 10U;
 constexpr core::Duration kMaxDiscardTime = milliseconds(100);
-// This time after its connections broke, a crashed process has also closed its listening socket.
-constexpr core::Duration kCrashProbeDelay = milliseconds(20);
-constexpr core::Duration kCrashProbeTimeout = milliseconds(200);
-constexpr core::Duration kCrashProbePoll = milliseconds(5);
 // A connection is reused until this time before the runner's idle timeout, which could otherwise
 // run out while the next request is on its way.
 constexpr core::Duration kIdleTimeoutMargin = milliseconds(1000);
@@ -133,27 +131,10 @@
   });
 }
 
-asio::awaitable<bool> RequestSession::MaySendAsSuspect() {
-  if (this->IsRefusedAsSuspect()) co_return false;
-  for (const auto subject : this->subjects) {
-    if (this->VerdictFor(subject) != SuspectVerdict::kTrial) continue;
-    const bool is_granted = co_await this->state.confirm_crash_trial(subject);
-    if (!is_granted) co_return false;
-    this->state.log.Write(
-        LogLevel::kWarning, "crash_trial",
-        {{"request", this->facts.attempt_id}, {"subject", fmt::format("{:x}", subject)}});
-  }
-  co_return true;
-}
-
 asio::awaitable<void> RequestSession::AwaitCrashProbe() {
   if (!this->interrupted_crash || this->subjects.empty()) co_return;
   if (this->state.suspects.CrashesOf(this->subjects.front()) == 0) co_return;
-  asio::steady_timer timer(this->state.io);
-  while (this->state.interrupted_requests.contains(*this->interrupted_crash)) {
-    timer.expires_after(kCrashProbePoll);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
+  co_await AwaitProbe(this->state, *this->interrupted_crash);
 }
 
 RequestSession::Refusal RequestSession::SuspectRefusal() {
@@ -211,7 +192,7 @@
   }
   auto connection = std::move(acquired.value());
   this->used_connections.push_back(connection->id());
-  const bool may_send = co_await this->MaySendAsSuspect();
+  const bool may_send = co_await ConfirmTrials(this->state, this->subjects, this->facts.attempt_id);
   if (!may_send) {
     this->failure = kCrashedRunners;
     this->pool.Release(std::move(connection));
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 #include "libraries/core/clock.h"
@@ -240,6 +241,101 @@
   EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
 }
 
+// Each report arrives some time after its ages were written. In a fleet of many routers one of them
+// reports every few milliseconds; a time that grew by these delays would stay recent for ever.
+TEST_F(CrashSuspectsTest, DoesNotAddTheDelaysOfReports) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  const auto last = this->clock.now();
+  std::array<CrashSuspects*, 2> routers = {&this->local, &this->remote};
+  while (this->clock.now() - last < seconds(5)) {
+    const auto news = routers[0]->TakeNews(this->clock.now());
+    this->clock.Advance(milliseconds(1));
+    routers[1]->Apply(this->clock.now(), news);
+    this->clock.Advance(milliseconds(2));
+    std::swap(routers[0], routers[1]);
+  }
+  this->clock.Advance(milliseconds(10));
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kTrial);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kTrial);
+}
+
+// The quarantine is told by late reports while the request of its trial is answered. The answer is
+// newer, although the told time looks later by the delay.
+TEST_F(CrashSuspectsTest, EndsAQuarantineThatIsToldLate) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  this->Report(this->local, this->remote);
+  this->clock.Advance(seconds(5));
+  EXPECT_TRUE(this->local.TryGrantTrial(this->clock.now(), 7));
+  const auto late_news = this->local.TakeNews(this->clock.now());
+  this->clock.Advance(milliseconds(20));
+  this->Answer(this->local, 7);
+  CrashSuspects third;
+  this->clock.Advance(milliseconds(30));
+  third.Apply(this->clock.now(), late_news);
+  const auto acquittal = this->local.TakeNews(this->clock.now());
+  for (auto* router : {&this->remote, &third}) {
+    router->Apply(this->clock.now(), acquittal);
+    router->Apply(this->clock.now(), late_news);
+    EXPECT_EQ(this->Verdict(*router, 7), SuspectVerdict::kAllowed);
+  }
+}
+
+// The coordinator may have ended a quarantine that another router still keeps, because it has seen
+// no refused request since or because it knows a worse suspect. If it granted no trial, the subject
+// would be refused there for as long as requests come.
+TEST_F(CrashSuspectsTest, GrantsATrialOfWhatOnlyTheOtherRouterRefuses) {
+  for (std::uint64_t crash = 0; crash < 3; ++crash) this->Crash(this->local, crash, {7});
+  this->Report(this->local, this->remote);
+  static_cast<void>(this->local.Update(this->clock.now()));
+  static_cast<void>(this->remote.Update(this->clock.now()));
+  this->clock.Advance(CrashSuspects::kQuarantineRetention - seconds(1));
+  this->local.OnRefused(this->clock.now(), 7);
+  this->clock.Advance(seconds(2));
+  static_cast<void>(this->local.Update(this->clock.now()));
+  static_cast<void>(this->remote.Update(this->clock.now()));
+  EXPECT_EQ(this->Verdict(this->local, 7), SuspectVerdict::kTrial);
+  EXPECT_EQ(this->Verdict(this->remote, 7), SuspectVerdict::kAllowed);
+  EXPECT_TRUE(this->remote.TryGrantTrial(this->clock.now(), 7));
+  // Two routers that ask at once still get one trial.
+  this->clock.Advance(milliseconds(100));
+  EXPECT_FALSE(this->remote.TryGrantTrial(this->clock.now(), 7));
+}
+
+// Routers that know a quarantine only from others must count a failed trial also if its beginning
+// is told after its crash. Otherwise a request that crashes runners gets the next trial too early.
+TEST_F(CrashSuspectsTest, KeepsFailedTrialsWhenTheirBeginningIsTold) {
+  const SuspectNews news = {.quarantines = {{.subject = 7, .failed_trials = 1, .age = minutes(2)}}};
+  this->clock.Advance(minutes(10));
+  CrashSuspects third;
+  for (auto* router : {&this->local, &this->remote, &third}) {
+    router->Apply(this->clock.now(), news);
+    static_cast<void>(router->Update(this->clock.now()));
+  }
+  this->clock.Advance(seconds(1));
+  EXPECT_TRUE(this->local.TryGrantTrial(this->clock.now(), 7));
+  const auto begun = this->local.TakeNews(this->clock.now());
+  this->CrashAfter(this->remote, 9, milliseconds(20));
+  this->clock.Advance(milliseconds(40));
+  this->Report(this->remote, third);
+  this->remote.Apply(this->clock.now(), begun);
+  third.Apply(this->clock.now(), begun);
+  this->clock.Advance(minutes(2));
+  EXPECT_TRUE(this->IsRefused(this->remote, 7));
+  EXPECT_TRUE(this->IsRefused(third, 7));
+}
+
+// A number of failed trials that overflows would make the next trial due at once.
+TEST_F(CrashSuspectsTest, BoundsTheNumberOfFailedTrialsThatIsTold) {
+  const SuspectNews news = {
+      .quarantines = {{.subject = 7, .failed_trials = ~std::uint64_t{0}, .age = seconds(0)}}};
+  this->clock.Advance(minutes(10));
+  this->local.Apply(this->clock.now(), news);
+  this->clock.Advance(seconds(3));
+  this->Crash(this->local, 9, {7});
+  this->clock.Advance(minutes(2));
+  EXPECT_TRUE(this->IsRefused(this->local, 7));
+}
+
 // A suspicion must end when nothing confirms it.
 TEST_F(CrashSuspectsTest, ExpiresSuspicionsAndQuarantines) {
   this->Crash(this->local, 1, {7});
