Edge, Dispatch: Separate the choice of a runner from the request session

The decisions about a request (route, key, quarantine, candidates, engine or instance, wait and refusal) become functions that read the router's state and change only the records passed to them. The request session calls them; real requests are placed as before.

--- a/libraries/dispatch/placement.cc
+++ b/libraries/dispatch/placement.cc
@@ -42,6 +42,8 @@
   return memory <= option.memory_capacity * kMaxMemoryFraction;
 }
 
+bool FailsMostRequests(const EngineOption& option) { return option.failure_rate > kMaxFailureRate; }
+
 double MostCachedTokens(std::span<const EngineOption> options) {
   double most = 0.0;
   for (const auto& option : options) most = std::max(most, option.cached_tokens);
@@ -60,6 +62,16 @@
   return QueueLimitMs(option, request) - kRepeatedPrefillWeight * repeated;
 }
 
+Rejection RejectionOf(const EngineSpeed& speed, const EngineOption& option,
+                      const EngineRequest& request, double most_cached) {
+  if (!HasSlot(option)) return Rejection::kSlots;
+  if (!HasMemory(option, request)) return Rejection::kMemory;
+  const double queue = QueueMs(speed, option.load) * option.slowdown;
+  if (queue > QueueLimitMs(option, request)) return Rejection::kQueue;
+  const double limit = RepeatedPrefillQueueLimitMs(speed, option, request, most_cached);
+  return queue > limit ? Rejection::kRepeatedPrefill : Rejection::kNone;
+}
+
 ScoredPlacement Score(const EngineSpeed& speed, const EngineOption& option,
                       const EngineRequest& request, std::size_t index) {
   const double uncached_tokens = std::max(request.prompt_tokens - option.cached_tokens, 1.0);
@@ -89,6 +101,22 @@
 
 double UnreportedWorkMs(double mean_ms, double draw) { return -mean_ms * std::log(draw); }
 
+std::vector<Assessment> AssessEngines(const EngineSpeed& speed,
+                                      std::span<const EngineOption> options,
+                                      const EngineRequest& request) {
+  const double most_cached = MostCachedTokens(options);
+  std::vector<Assessment> assessments;
+  assessments.reserve(options.size());
+  for (std::size_t index = 0; index < options.size(); ++index) {
+    const auto scored = Score(speed, options[index], request, index);
+    assessments.push_back({.rejection = RejectionOf(speed, options[index], request, most_cached),
+                           .cost = scored.cost,
+                           .forecast_ms = scored.forecast_ms,
+                           .fails_most_requests = FailsMostRequests(options[index])});
+  }
+  return assessments;
+}
+
 std::optional<EnginePlacement> PlaceAtEngine(const EngineSpeed& speed,
                                              std::span<const EngineOption> options,
                                              const EngineRequest& request) {
@@ -97,11 +125,9 @@
   DomainCandidates failing;
   for (std::size_t index = 0; index < options.size(); ++index) {
     const auto& option = options[index];
-    if (!HasSlot(option) || !HasMemory(option, request)) continue;
+    if (RejectionOf(speed, option, request, most_cached) != Rejection::kNone) continue;
     const auto scored = Score(speed, option, request, index);
-    const double limit = RepeatedPrefillQueueLimitMs(speed, option, request, most_cached);
-    if (scored.placement.queue_ms > limit) continue;
-    auto& candidates = option.failure_rate > kMaxFailureRate ? failing : sound;
+    auto& candidates = FailsMostRequests(option) ? failing : sound;
     candidates.Add(index, option.other_domain, scored.cost, scored.forecast_ms);
   }
   const auto choice = ChooseDomain(sound.empty() ? failing : sound, request.leaving);
@@ -117,7 +143,7 @@
   if (tokens_per_ms <= 0.0) return std::nullopt;
   CacheCopy copy = {.source = chosen};
   for (std::size_t index = 0; index < options.size(); ++index) {
-    if (options[index].failure_rate > kMaxFailureRate) continue;
+    if (FailsMostRequests(options[index])) continue;
     if (options[index].cached_tokens > options[copy.source].cached_tokens) copy.source = index;
   }
   copy.tokens = options[copy.source].cached_tokens - options[chosen].cached_tokens;
@@ -133,31 +159,44 @@
   const double most_cached = MostCachedTokens(options);
   EngineRejections rejections;
   for (const auto& option : options) {
-    const double queue = QueueMs(speed, option.load) * option.slowdown;
-    if (!HasSlot(option)) {
-      ++rejections.slots;
-    } else if (!HasMemory(option, request)) {
-      ++rejections.memory;
-    } else if (queue > QueueLimitMs(option, request)) {
-      ++rejections.queue;
-    } else if (queue > RepeatedPrefillQueueLimitMs(speed, option, request, most_cached)) {
-      ++rejections.repeated_prefill;
+    switch (RejectionOf(speed, option, request, most_cached)) {
+      case Rejection::kSlots:
+        ++rejections.slots;
+        break;
+      case Rejection::kMemory:
+        ++rejections.memory;
+        break;
+      case Rejection::kQueue:
+        ++rejections.queue;
+        break;
+      case Rejection::kRepeatedPrefill:
+        ++rejections.repeated_prefill;
+        break;
+      case Rejection::kNone:
+        break;
     }
   }
   return rejections;
 }
 
+Assessment AssessService(const ServiceOption& option, double queue_factor,
+                         const LeavingTerms& leaving) {
+  const double rounds = 1.0 + option.active / std::max(option.slots, 1.0);
+  const double forecast = rounds * option.latency_ms;
+  const bool has_room = option.active < option.slots * queue_factor;
+  return {.rejection = has_room ? Rejection::kNone : Rejection::kSlots,
+          .cost = forecast + kFailureCostMs * option.failure_rate +
+                  DomainCostMs(leaving, option.other_domain),
+          .forecast_ms = forecast};
+}
+
 std::optional<DomainChoice> PlaceAtService(std::span<const ServiceOption> options,
                                            double queue_factor, const LeavingTerms& leaving) {
   DomainCandidates candidates;
   for (std::size_t index = 0; index < options.size(); ++index) {
-    const auto& option = options[index];
-    if (option.active >= option.slots * queue_factor) continue;
-    const double rounds = 1.0 + option.active / std::max(option.slots, 1.0);
-    const double forecast = rounds * option.latency_ms;
-    const double cost = forecast + kFailureCostMs * option.failure_rate +
-                        DomainCostMs(leaving, option.other_domain);
-    candidates.Add(index, option.other_domain, cost, forecast);
+    const auto assessed = AssessService(options[index], queue_factor, leaving);
+    if (assessed.rejection != Rejection::kNone) continue;
+    candidates.Add(index, options[index].other_domain, assessed.cost, assessed.forecast_ms);
   }
   return ChooseDomain(candidates, leaving);
 }
--- a/libraries/dispatch/placement.h
+++ b/libraries/dispatch/placement.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "libraries/dispatch/domain_choice.h"
 #include "libraries/dispatch/engine_model.h"
@@ -61,6 +62,34 @@
 /// same engine until the next report.
 double UnreportedWorkMs(double mean_ms, double draw);
 
+/// The first limit that closes an engine or a service instance to a request.
+enum class Rejection {
+  kNone,
+  kSlots,
+  kMemory,
+  kQueue,
+  /// The queue is short enough in general, but not for prefilling again what another engine has
+  /// cached.
+  kRepeatedPrefill,
+};
+
+/// How one option compares with the others for one request.
+struct Assessment {
+  Rejection rejection = Rejection::kNone;
+  /// In milliseconds of waiting, by which the options are compared.
+  double cost = 0.0;
+  /// Forecast time to the first event of an engine or to the response of a service, in
+  /// milliseconds.
+  double forecast_ms = 0.0;
+  /// The engine fails most requests and is used only if no other one has room.
+  bool fails_most_requests = false;
+};
+
+/// Assesses each engine by the rules of `PlaceAtEngine`.
+std::vector<Assessment> AssessEngines(const EngineSpeed& speed,
+                                      std::span<const EngineOption> options,
+                                      const EngineRequest& request);
+
 /// Chooses the engine with the lowest predicted cost for a request. The cost is mainly the time to
 /// the first event, corrected by the slowdown. Prefill time counts several times, because prefill
 /// delays all other requests of that engine, and failures and another failure domain add to the
@@ -116,6 +145,10 @@
   bool other_domain = false;
 };
 
+/// Assesses an instance by the rules of `PlaceAtService`.
+Assessment AssessService(const ServiceOption& option, double queue_factor,
+                         const LeavingTerms& leaving);
+
 /// Chooses the instance with the lowest predicted response time and failure cost, so that a few
 /// slow or failing instances are avoided. Returns nothing if each instance has at least
 /// `queue_factor` times its slots in use. `leaving` limits which requests go to another failure
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -10,6 +10,7 @@
 
 #include "libraries/core/identifiers.h"
 #include "libraries/core/milliseconds.h"
+#include "services/pomelospar_edge/request_admission.h"
 
 namespace pomelospar::edge {
 namespace {
@@ -19,22 +20,12 @@
 using core::ToMilliseconds;
 using std::chrono::milliseconds;
 
-// A caller whose remaining time is less than this share of the longest one on its route is treated
-// as one that retries after a refusal; the times of first callers on a route differ by up to 15%. A
-// caller that comes back earlier in a long deadline counts as a first caller.
-constexpr double kReturningTimeoutShare = 0.84;
 // Limit of attempts that ended before any byte was sent. If more runners than this are unreachable,
 // further attempts would hardly help.
 constexpr unsigned kMaxUnsentAttempts = 4;
-// Retry-After while this router lacks a current configuration.
-constexpr core::Duration kRetryAfterWhileUnconfirmed = milliseconds(500);
-// Retry-After while this router stops. It is short because the retry reaches another router.
-constexpr core::Duration kRetryAfterWhileStopping = milliseconds(1);
 // If the event loop is later than this, it is checked whether the caller has closed its connection
 // before a request is admitted or sent.
 constexpr double kLateEventLoopMs = 3.0;
-constexpr std::string_view kNoRunner = "no runner has room";
-constexpr std::string_view kStopping = "this router stops";
 
 }  // namespace
 
@@ -69,7 +60,7 @@
   });
   this->StartDeadline();
   if (!this->MaySendDuringStop()) {
-    co_await this->Refuse({503, kStopping, kRetryAfterWhileStopping});
+    co_await this->Refuse(StoppingRefusal());
     this->deadline_timer->cancel();
     co_return;
   }
@@ -85,50 +76,27 @@
   this->deadline_timer->cancel();
 }
 
-std::optional<RequestSession::Refusal> RequestSession::Admit() {
-  if (!this->policy) return Refusal{503, "no configuration yet", kRetryAfterWhileUnconfirmed};
+std::optional<Refusal> RequestSession::Admit() {
   const auto& request = this->exchange.request();
-  this->route = dispatch::FindRoute(*this->policy, this->facts.host, request.path());
-  const bool fresh = PolicyIsFresh(this->state, this->state.settings.configuration_limit);
-  if (this->route == nullptr) {
-    // The route may have been added after the configuration that this router knows.
-    if (!fresh) {
-      return Refusal{503, "configuration may be out of date", kRetryAfterWhileUnconfirmed};
-    }
-    return Refusal{404, "no route", {}};
+  if (this->policy) {
+    this->route = dispatch::FindRoute(*this->policy, this->facts.host, request.path());
   }
+  if (auto refusal = CheckRoute(this->state, this->route)) return refusal;
   if (auto refusal = this->Authenticate()) return refusal;
-  if (this->state.stop && this->route->streaming) {
-    // The end of this process could cut the stream off; another router can serve it completely.
-    return Refusal{503, kStopping, kRetryAfterWhileStopping};
-  }
-  const auto upstream_name =
-      dispatch::ChooseUpstream(*this->route, this->Draw(core::HashName("upstream")));
-  const auto found = this->policy->upstreams.find(std::string(upstream_name));
-  if (found == this->policy->upstreams.end()) {
-    return Refusal{503, "the route's upstream is not declared", kRetryAfterWhileUnconfirmed};
-  }
-  this->upstream = &found->second;
+  if (IsRefusedForStop(this->state, *this->route)) return StoppingRefusal();
+  this->upstream = FindUpstream(*this->policy, *this->route, this->attempt_hash);
+  if (this->upstream == nullptr) return UndeclaredUpstreamRefusal();
   this->subjects = dispatch::SubjectsOf(this->workspace, request.method, request.target,
                                         request.body, this->facts.prompt.parts);
   if (this->IsRefusedAsSuspect()) return this->SuspectRefusal();
   return std::nullopt;
 }
 
-std::optional<RequestSession::Refusal> RequestSession::Authenticate() {
-  if (!this->policy->has_workspaces || this->route->open_to_all) return std::nullopt;
-  const auto& settings = this->state.settings;
-  if (settings.keys_fail_closed && !PolicyIsFresh(this->state, settings.key_revocation_limit)) {
-    return Refusal{503, "keys cannot be confirmed", kRetryAfterWhileUnconfirmed};
-  }
+std::optional<Refusal> RequestSession::Authenticate() {
+  if (!NeedsKey(*this->policy, *this->route)) return std::nullopt;
   const auto* holder =
       this->facts.api_key ? dispatch::FindWorkspace(*this->policy, *this->facts.api_key) : nullptr;
-  if (holder == nullptr) {
-    if (!PolicyIsFresh(this->state, settings.configuration_limit)) {
-      return Refusal{503, "the key may have been added since", kRetryAfterWhileUnconfirmed};
-    }
-    return Refusal{401, "unknown key", {}};
-  }
+  if (auto refusal = CheckHolder(this->state, holder)) return refusal;
   this->workspace = holder->name;
   return std::nullopt;
 }
@@ -156,8 +124,7 @@
   const auto caller_timeout = this->facts.caller_timeout.value_or(this->route->timeout);
   auto& full = this->state.longest_caller_timeout[this->route->name];
   full = std::max(full, caller_timeout);
-  this->admission_context.is_caller_retry =
-      ToMilliseconds(caller_timeout) < kReturningTimeoutShare * ToMilliseconds(full);
+  this->admission_context.is_caller_retry = IsCallerRetry(caller_timeout, full);
   this->deadline = this->received + std::min(caller_timeout, this->route->timeout);
   this->deadline_timer = std::make_shared<asio::steady_timer>(this->state.io, this->deadline);
   this->deadline_timer->async_wait(
@@ -175,16 +142,13 @@
                                              .slack = 1.0,
                                              .window = this->state.settings.retry_window}))
       .first->second.OnRequest(now);
-  if (!this->upstream->engine) return;
-  if (this->workspace.empty()) return;
-  this->use = dispatch::RequestUse(ShareTokens(this->facts.prompt));
+  if (!this->upstream->engine || this->workspace.empty()) return;
+  this->use = UseOf(*this->upstream, this->workspace, this->facts.prompt);
   WindowOf(this->state, this->workspace).asked.Add(now, this->use.all_tokens());
 }
 
 bool RequestSession::MaySendDuringStop() const {
-  return !this->state.stop ||
-         dispatch::MaySendDuringStop(*this->state.stop, this->state.clock.now(), this->received,
-                                     this->deadline);
+  return edge::MaySendDuringStop(this->state, this->received, this->deadline);
 }
 
 void RequestSession::EndForStop() {
@@ -224,18 +188,13 @@
 }
 
 asio::awaitable<bool> RequestSession::WaitForRunner() {
-  const auto objective = this->tried.empty() ? this->route->objective : this->route->objective * 2;
-  const auto until = this->state.clock.now() +
-                     dispatch::HoldLimit(objective, this->TimeLeft(), this->admission_context);
-  this->admission_context.until_within_share = this->TimeUntilWithinShare();
-  const bool is_beyond_share =
-      this->admission_context.until_within_share > until - this->state.clock.now();
-  const auto until_rested = this->TimeUntilRested();
-  const bool all_rest = until_rested > until - this->state.clock.now();
+  const auto wait =
+      DescribeWait(this->state, this->Query(), this->TimeUntilWithinShare(), this->TimeLeft());
+  this->admission_context.until_within_share = wait.until_within_share;
   bool is_confirmed = false;
-  while (!is_confirmed && !is_beyond_share && !all_rest && !this->AllRunnersEvacuated()) {
-    if (!this->TryPlace() && this->state.clock.now() < until) {
-      co_await this->WaitInQueue(until);
+  while (!is_confirmed && !wait.is_beyond_share && !wait.all_rest && !this->AllRunnersEvacuated()) {
+    if (!this->TryPlace() && this->state.clock.now() < wait.until) {
+      co_await this->WaitInQueue(wait.until);
     }
     if (!this->reservation || this->caller_gone || this->deadline_passed) break;
     is_confirmed = co_await this->ConfirmPlacement();
@@ -263,24 +222,14 @@
   } else if (this->IsRefusedAsSuspect()) {
     co_await this->Refuse(this->SuspectRefusal());
   } else {
-    if (!is_beyond_share) this->engine_rejections = this->CountRejections();
-    auto refusal = this->NoCapacityRefusal();
-    if (is_beyond_share) refusal.reason = "the workspace is beyond its share";
-    if (this->AllRunnersEvacuated())
-      refusal.reason = "all runners are in evacuated failure domains";
-    if (all_rest) {
-      refusal.reason = "all runners asked for rest";
-      refusal.retry_after = std::max(refusal.retry_after, until_rested);
-    }
-    co_await this->Refuse(refusal);
+    if (!wait.is_beyond_share) this->engine_rejections = this->CountRejections();
+    co_await this->Refuse(RefusalAfterWait(this->state, this->Query(), wait, this->TimeLeft()));
   }
   co_return false;
 }
 
-RequestSession::Refusal RequestSession::NoCapacityRefusal() const {
-  return {503, kNoRunner,
-          dispatch::RetryAfter(this->route->objective, this->TimeLeft(), ShareWindow(this->state),
-                               this->admission_context, this->Draw(core::HashName("back")))};
+bool RequestSession::AllRunnersEvacuated() const {
+  return edge::AllRunnersEvacuated(this->state, *this->upstream);
 }
 
 bool RequestSession::MayRetry(AttemptEnd end) {
@@ -339,12 +288,12 @@
     co_return;
   }
   if (!this->may_have_run && !this->MaySendDuringStop()) {
-    co_await this->Refuse({503, kStopping, kRetryAfterWhileStopping});
+    co_await this->Refuse(StoppingRefusal());
     co_return;
   }
   if (!this->may_have_run) {
-    auto refusal = this->NoCapacityRefusal();
-    refusal.reason = end == AttemptEnd::kNotSent ? "no runner could be reached" : kNoRunner;
+    auto refusal = NoCapacityRefusal(this->state, this->Query(), this->TimeLeft());
+    if (end == AttemptEnd::kNotSent) refusal.reason = "no runner could be reached";
     co_await this->Refuse(refusal);
     co_return;
   }
@@ -363,7 +312,7 @@
     co_return;
   }
   if (this->ended_for_stop) {
-    co_await this->Refuse({503, kStopping, kRetryAfterWhileStopping});
+    co_await this->Refuse(StoppingRefusal());
     co_return;
   }
   co_await this->Fail(504, "no response before the deadline");
@@ -408,10 +357,6 @@
   return std::max(this->deadline - this->state.clock.now(), core::Duration::zero());
 }
 
-double RequestSession::Draw(std::uint64_t purpose) const {
-  return core::UnitFraction(core::CombineHashes(purpose, this->attempt_hash));
-}
-
 void RequestSession::LogEnd(unsigned status, std::string_view outcome, std::string_view reason) {
   const auto now = this->state.clock.now();
   const double total_ms = ToMilliseconds(now - this->received);
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -19,6 +19,8 @@
 #include "platform/request_headers.h"
 #include "services/pomelospar_edge/event_splitter.h"
 #include "services/pomelospar_edge/held_bytes.h"
+#include "services/pomelospar_edge/placement_decision.h"
+#include "services/pomelospar_edge/refusal.h"
 #include "services/pomelospar_edge/reservation.h"
 #include "services/pomelospar_edge/response_match.h"
 #include "services/pomelospar_edge/router_state.h"
@@ -53,12 +55,6 @@
   void EndForStop();
 
  private:
-  struct Refusal {
-    unsigned status = 503;
-    std::string_view reason;
-    /// Value of Retry-After; zero if the header is not sent.
-    core::Duration retry_after{};
-  };
   enum class Step { kRetry, kEnd };
 
   // Admission.
@@ -69,7 +65,6 @@
   /// Counts the request in its upstream's retry limit and in its workspace's demand.
   void RecordDemand();
   void StartDeadline();
-  /// True if the process is not stopping, or exits after the request has ended.
   bool MaySendDuringStop() const;
   void OnDeadline();
   void OnCallerGone();
@@ -81,14 +76,13 @@
   boost::asio::awaitable<void> WaitInQueue(core::TimePoint until);
   /// Chooses a runner and sets `reservation`; returns false if no runner has room.
   bool TryPlace();
-  /// Returns the time until the first runner wants requests again; zero if one does now, or if
-  /// there is none.
-  core::Duration TimeUntilRested() const;
+  /// What the choice of a runner considers of this request now.
+  PlacementQuery Query() const;
+  /// The upstream's records in the router's state.
+  PlacementRecords Records();
   /// Returns the time until the workspace's share admits the request to an engine.
   core::Duration TimeUntilWithinShare();
-  bool PlaceEngine(const dispatch::EngineLimits& limits);
-  /// Describes the prompt and its queue limit, and records its work at the first call.
-  dispatch::EngineRequest DescribeRequest(std::span<const dispatch::EngineOption> options);
+  bool PlaceEngine();
   /// Numbers of engines by the limit that closes them to this request, for the log.
   dispatch::EngineRejections CountRejections();
   /// Counts the request in the runner's load.
@@ -99,22 +93,9 @@
   /// Counts a confirmed placement in the runner's cached prefixes and in the workspace's use.
   void RecordPlacement();
   bool PlaceService();
-  /// Returns the conditions for sending the request to another failure domain. Without a price in
-  /// the settings it goes where its cost is lowest.
-  dispatch::LeavingTerms DescribeLeaving();
   /// Counts the first placement of the request in the share of requests that leave.
   void CountLeaving(const dispatch::DomainChoice& choice);
-  std::vector<Runner*> Candidates() const;
-  std::vector<dispatch::EngineOption> DescribeEngines(const dispatch::EngineLimits& limits,
-                                                      const std::vector<Runner*>& candidates) const;
-  /// Estimate, in milliseconds, of the work that other routers sent to the runner and have not
-  /// reported yet. Not 0 in a large fleet only.
-  double EstimateUnreportedWorkMs(const Runner& runner) const;
-  void PreferRendezvousEngine(const std::vector<Runner*>& candidates,
-                              std::vector<dispatch::EngineOption>& options) const;
-  /// True if the upstream has runners and the operator has evacuated all of them.
   bool AllRunnersEvacuated() const;
-  Refusal NoCapacityRefusal() const;
 
   // One attempt, in runner_attempt.cc.
   boost::asio::awaitable<AttemptEnd> Attempt();
@@ -168,8 +149,6 @@
   boost::asio::awaitable<void> Fail(unsigned status, std::string_view reason);
 
   core::Duration TimeLeft() const;
-  /// Pseudo-random number in [0, 1), the same for each call with this request and purpose.
-  double Draw(std::uint64_t purpose) const;
   void LogEnd(unsigned status, std::string_view outcome, std::string_view reason);
 
   RouterState& state;
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -168,13 +168,24 @@
 
 double ShareUse(RouterState& state, const std::string& workspace, double tokens) {
   if (workspace.empty() || state.share_level <= 0.0) return 0.0;
-  const auto now = state.clock.now();
+  return ShareUse(state, workspace, WindowOf(state, workspace), tokens);
+}
+
+double ShareUse(const RouterState& state, const std::string& workspace,
+                const WorkspaceWindow& window, double tokens) {
+  if (workspace.empty() || state.share_level <= 0.0) return 0.0;
   const auto peers = state.peers.UsageOf(core::HashName(workspace));
-  const double served = WindowOf(state, workspace).served.Sum(now) + peers.served;
+  const double served = window.served.Sum(state.clock.now()) + peers.served;
   return (served + tokens) / state.share_level;
 }
 
 core::Duration TimeUntilAllowed(RouterState& state, const std::string& workspace) {
+  if (workspace.empty() || state.share_level <= 0.0 || std::isinf(state.share_level)) return {};
+  return TimeUntilAllowed(state, workspace, WindowOf(state, workspace));
+}
+
+core::Duration TimeUntilAllowed(const RouterState& state, const std::string& workspace,
+                                WorkspaceWindow& window) {
   // Above 1, so that capacity which the other workspaces leave is used: what is served beyond the
   // level raises it.
   constexpr double kMaxUse = 1.5;
@@ -182,7 +193,6 @@
   constexpr double kBurstPart = 0.25;
   if (workspace.empty() || state.share_level <= 0.0 || std::isinf(state.share_level)) return {};
   const auto now = state.clock.now();
-  auto& window = WindowOf(state, workspace);
   const double own = window.asked.Sum(now);
   const double all = own + state.peers.UsageOf(core::HashName(workspace)).asked;
   const double part = all > 0.0 ? own / all : 1.0;
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -265,10 +265,18 @@
 /// capacity is known.
 double ShareUse(RouterState& state, const std::string& workspace, double tokens);
 
+/// The same with the workspace's window at this router. Changes no state.
+double ShareUse(const RouterState& state, const std::string& workspace,
+                const WorkspaceWindow& window, double tokens);
+
 /// Returns the time until this router may send a request of the workspace to an engine; zero if it
 /// may send one now. Each router may send the part of the workspace's share that corresponds to its
 /// part of the workspace's demand.
 core::Duration TimeUntilAllowed(RouterState& state, const std::string& workspace);
+/// The same with the workspace's window at this router, whose allowance is refilled. Changes
+/// nothing else.
+core::Duration TimeUntilAllowed(const RouterState& state, const std::string& workspace,
+                                WorkspaceWindow& window);
 
 /// Counts a placed request in what its workspace was served, once.
 void CountServed(RouterState& state, const std::string& workspace, dispatch::RequestUse& use);
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -17,6 +17,7 @@
 
 #include "libraries/core/milliseconds.h"
 #include "services/pomelospar_edge/domain_traffic.h"
+#include "services/pomelospar_edge/request_admission.h"
 #include "services/pomelospar_edge/request_session.h"
 
 namespace pomelospar::edge {
@@ -50,7 +51,6 @@
 // A connection is reused until this time before the runner's idle timeout, which could otherwise
 // run out while the next request is on its way.
 constexpr core::Duration kIdleTimeoutMargin = milliseconds(1000);
-constexpr std::string_view kCrashedRunners = "it or a part of it crashed several runners";
 
 // By these statuses a caller would conclude that its request was not executed. A runner's response
 // with one of them is not relayed, because only `ResponseFacts::not_executed` proves that.
@@ -128,9 +128,7 @@
 }
 
 bool RequestSession::IsRefusedAsSuspect() const {
-  return std::any_of(this->subjects.begin(), this->subjects.end(), [this](std::uint64_t subject) {
-    return this->VerdictFor(subject) == SuspectVerdict::kRefused;
-  });
+  return edge::IsRefusedAsSuspect(this->state, this->subjects);
 }
 
 asio::awaitable<bool> RequestSession::MaySendAsSuspect() {
@@ -156,7 +154,7 @@
   }
 }
 
-RequestSession::Refusal RequestSession::SuspectRefusal() {
+Refusal RequestSession::SuspectRefusal() {
   for (const auto subject : this->subjects) {
     if (this->VerdictFor(subject) != SuspectVerdict::kRefused) continue;
     this->state.suspects.OnRefused(this->state.clock.now(), subject);
@@ -165,8 +163,7 @@
                            {"subject", fmt::format("{:x}", subject)},
                            {"crashes", this->state.suspects.CrashesOf(subject)}});
   }
-  // Without Retry-After: a repeat would be refused too.
-  return {503, kCrashedRunners, {}};
+  return QuarantineRefusal();
 }
 
 void RequestSession::OnReadFailure(const core::Error& error) {
