Edge: Explain at the metrics listener where a request would be sent

GET /explain answers with the decision that a described request would get now, and with the state of each runner of its upstream. It uses the functions that place real requests on copies of the records which they change.

--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -16,6 +16,7 @@
 #include "libraries/core/milliseconds.h"
 #include "libraries/core/text_file.h"
 #include "services/pomelospar_edge/domain_traffic.h"
+#include "services/pomelospar_edge/explanation.h"
 
 namespace pomelospar::edge {
 namespace {
@@ -358,10 +359,34 @@
   if (!sent) this->log.Write(LogLevel::kWarning, "readiness_unanswered");
 }
 
+http::HttpResponse Edge::Explain(const http::HttpRequest& request) {
+  http::HttpResponse response;
+  response.headers = {{"Content-Type", "application/json"}};
+  if (request.method != "GET") {
+    response.status = 405;
+    response.headers.push_back({"Allow", "GET"});
+    response.body = R"({"message":"write GET /explain?FIELD=VALUE&..."})";
+    return response;
+  }
+  const auto now = this->state.clock.now();
+  if (this->explained_at.full() && now - this->explained_at.front() < std::chrono::seconds(1)) {
+    response.status = 503;
+    response.headers.push_back({"Retry-After", "1"});
+    response.body = R"({"message":"too many explanations; try again in a second"})";
+    return response;
+  }
+  this->explained_at.push_back(now);
+  return ExplainPlacement(this->state, request);
+}
+
 asio::awaitable<void> Edge::AnswerMetrics(http::ServerExchange& exchange) {
   http::HttpResponse response;
-  response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
-  response.body = this->state.metrics.Render();
+  if (exchange.request().path() == "/explain") {
+    response = this->Explain(exchange.request());
+  } else {
+    response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+    response.body = this->state.metrics.Render();
+  }
   const auto sent = co_await exchange.Respond(std::move(response));
   if (!sent) this->log.Write(LogLevel::kInfo, "metrics_unanswered");
 }
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/circular_buffer.hpp>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -59,7 +60,9 @@
   bool MustShedNext();
   boost::asio::awaitable<void> Serve(http::ServerExchange& exchange);
   boost::asio::awaitable<void> AnswerReadiness(http::ServerExchange& exchange);
+  /// Answers with the metrics, or with an explanation for the path /explain.
   boost::asio::awaitable<void> AnswerMetrics(http::ServerExchange& exchange);
+  http::HttpResponse Explain(const http::HttpRequest& request);
   boost::asio::awaitable<void> Stop();
   /// Waits until all callers have their answers and are gone, at most until `limit`.
   boost::asio::awaitable<void> AwaitCallers(core::TimePoint limit);
@@ -83,6 +86,9 @@
   std::unique_ptr<http::HttpServer> caller_server;
   std::unique_ptr<http::HttpServer> readiness_server;
   std::unique_ptr<http::HttpServer> metrics_server;
+  /// Times of the latest explanations. Each one examines all runners of an upstream on the thread
+  /// that serves requests, so there are at most as many in a second as this has room for.
+  boost::circular_buffer<core::TimePoint> explained_at{10};
   /// Readiness at the latest tick, so that only changes are logged.
   bool was_ready = false;
   /// Sum of the shares of requests to refuse, less one for each refused request.
--- a/services/pomelospar_edge/placement_decision.cc
+++ b/services/pomelospar_edge/placement_decision.cc
@@ -236,6 +236,10 @@
           .all_rest = until_rested > limit};
 }
 
+bool MayFindRunner(const RouterState& state, const PlacementQuery& query, const WaitTerms& wait) {
+  return !wait.is_beyond_share && !wait.all_rest && !AllRunnersEvacuated(state, *query.upstream);
+}
+
 Refusal NoCapacityRefusal(const RouterState& state, const PlacementQuery& query,
                           core::Duration time_left) {
   return {
--- a/services/pomelospar_edge/placement_decision.h
+++ b/services/pomelospar_edge/placement_decision.h
@@ -144,6 +144,9 @@
 WaitTerms DescribeWait(const RouterState& state, const PlacementQuery& query,
                        core::Duration until_within_share, core::Duration time_left);
 
+/// Returns false if waiting for a runner is useless, so that the request is refused at once.
+bool MayFindRunner(const RouterState& state, const PlacementQuery& query, const WaitTerms& wait);
+
 /// Refuses a request that found no runner.
 Refusal NoCapacityRefusal(const RouterState& state, const PlacementQuery& query,
                           core::Duration time_left);
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -192,7 +192,7 @@
       DescribeWait(this->state, this->Query(), this->TimeUntilWithinShare(), this->TimeLeft());
   this->admission_context.until_within_share = wait.until_within_share;
   bool is_confirmed = false;
-  while (!is_confirmed && !wait.is_beyond_share && !wait.all_rest && !this->AllRunnersEvacuated()) {
+  while (!is_confirmed && MayFindRunner(this->state, this->Query(), wait)) {
     if (!this->TryPlace() && this->state.clock.now() < wait.until) {
       co_await this->WaitInQueue(wait.until);
     }
