--- a/utilities/pomelosparctl/admin_client.cc
+++ b/utilities/pomelosparctl/admin_client.cc
@@ -91,7 +91,9 @@
   constexpr unsigned kHttp11 = 11;
   http::request<http::string_body> request(http::string_to_verb(method), target, kHttp11);
   request.set(http::field::host, server);
-  request.set(http::field::authorization, "Bearer " + client.token);
+  if (!client.token.empty()) {
+    request.set(http::field::authorization, "Bearer " + client.token);
+  }
   request.set(http::field::connection, "close");
   if (!body.is_null()) {
     request.set(http::field::content_type, "application/json");
--- a/utilities/pomelosparctl/admin_client.h
+++ b/utilities/pomelosparctl/admin_client.h
@@ -19,6 +19,7 @@
 struct AdminClient {
   /// Admin addresses of routers as "ip:port", tried in this order.
   std::vector<std::string> servers;
+  /// Sent with each request unless it is empty.
   std::string token;
   std::chrono::milliseconds timeout = std::chrono::seconds(20);
 };
--- a/utilities/pomelosparctl/commands.cc
+++ b/utilities/pomelosparctl/commands.cc
@@ -27,19 +27,6 @@
   return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
 }
 
-/// Encodes one path segment: percent-encodes all but the unreserved characters of RFC 3986, so that
-/// an argument cannot add segments or a query to the path. The segments "." and ".." stay as they
-/// are, because "." is unreserved.
-std::string EncodePathSegment(std::string_view text) {
-  std::string encoded;
-  for (const char c : text) {
-    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-                       c == '-' || c == '_' || c == '.' || c == '~';
-    encoded += plain ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
-  }
-  return encoded;
-}
-
 void PrintMessage(const json& response) {
   fmt::print("{}\n", Cell(response.value("message", json("done"))));
 }
@@ -131,14 +118,14 @@
     return Call(options, "GET", "/v1/quarantine", nullptr, PrintQuarantine);
   }
   if (action == "clear" && options.arguments.size() == 2) {
-    return Call(options, "DELETE", "/v1/quarantine/" + EncodePathSegment(options.arguments[1]),
-                nullptr, PrintMessage);
+    return Call(options, "DELETE", "/v1/quarantine/" + PercentEncode(options.arguments[1]), nullptr,
+                PrintMessage);
   }
   return Fail(kUsageError, "write `quarantine list` or `quarantine clear FINGERPRINT`");
 }
 
 int Explain(const Options& options) {
-  return Call(options, "GET", "/v1/requests/" + EncodePathSegment(options.arguments[0]), nullptr,
+  return Call(options, "GET", "/v1/requests/" + PercentEncode(options.arguments[0]), nullptr,
               PrintRequest);
 }
 
@@ -158,6 +145,16 @@
   return exit_code;
 }
 
+std::string PercentEncode(std::string_view text) {
+  std::string encoded;
+  for (const char c : text) {
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                       c == '-' || c == '_' || c == '.' || c == '~';
+    encoded += plain ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
+  }
+  return encoded;
+}
+
 core::Result<std::string> ReadFile(const std::string& name) {
   std::ifstream file(name, std::ios::binary);
   std::string content{std::istreambuf_iterator<char>(file), {}};
@@ -234,7 +231,12 @@
   if (!client) {
     return Fail(kUsageError, client.error().message);
   }
-  const auto response = Request(client.value(), method, target, body);
+  return CallWith(options, client.value(), method, target, body, print);
+}
+
+int CallWith(const Options& options, const AdminClient& client, const std::string& method,
+             const std::string& target, const json& body, void (*print)(const json& response)) {
+  const auto response = Request(client, method, target, body);
   if (!response) {
     return Fail(kNotDone, response.error().message);
   }
@@ -268,7 +270,11 @@
       {"quarantine", "list | clear FINGERPRINT",
        "list or clear quarantined requests, which are suspected of crashing runners", 1, 2,
        Quarantine},
-      {"explain", "REQUEST", "what happened to a request", 1, 1, Explain},
+      {"explain", "REQUEST", "what happened to a request of pomelospard; see also `place`", 1, 1,
+       Explain},
+      {"place", "HOST PATH [FIELD=VALUE]...",
+       "where pomelospar_edge would send a request now, and why; --server is its metrics address",
+       2, 12, Place},
       {"hash-key", "", "SHA-256 of the API key on standard input", 0, 0, HashKey},
       {"faults", "JSON", "inject faults into a router whose settings enable [faults]", 1, 1,
        Faults},
--- a/utilities/pomelosparctl/commands.h
+++ b/utilities/pomelosparctl/commands.h
@@ -54,6 +54,11 @@
 /// Prints `message` to standard error and returns `exit_code`.
 int Fail(int exit_code, std::string_view message);
 
+/// Percent-encodes all but the unreserved characters of RFC 3986, so that an argument cannot add
+/// segments or a query to a path, or fields to a query. The segments "." and ".." stay as they are,
+/// because "." is unreserved.
+std::string PercentEncode(std::string_view text);
+
 core::Result<std::string> ReadFile(const std::string& name);
 
 /// Makes a client from the flags and the settings file. Errors: `kInvalidArgument` if the settings
@@ -65,6 +70,11 @@
 int Call(const Options& options, const std::string& method, const std::string& target,
          const nlohmann::json& body, void (*print)(const nlohmann::json& response));
 
+/// The same with a client of its own.
+int CallWith(const Options& options, const AdminClient& client, const std::string& method,
+             const std::string& target, const nlohmann::json& body,
+             void (*print)(const nlohmann::json& response));
+
 /// Prints a response whose status is not 200 and returns the exit code.
 int ReportFailure(const Options& options, const AdminResponse& response);
 
@@ -76,6 +86,9 @@
 int RollBack(const Options& options);
 int HashKey(const Options& options);
 
+// Where a router would send a request (place_command.cc).
+int Place(const Options& options);
+
 }  // namespace pomelospar::pomelosparctl
 
 #endif  // POMELOSPAR_UTILITIES_POMELOSPARCTL_COMMANDS_H_
