--- a/utilities/pomelosparctl/commands.cc
+++ b/utilities/pomelosparctl/commands.cc
@@ -274,7 +274,7 @@
        Explain},
       {"place", "HOST PATH [FIELD=VALUE]...",
        "where pomelospar_edge would send a request now, and why; --server is its metrics address",
-       2, 12, Place},
+       2, 11, Place},
       {"hash-key", "", "SHA-256 of the API key on standard input", 0, 0, HashKey},
       {"faults", "JSON", "inject faults into a router whose settings enable [faults]", 1, 1,
        Faults},
