--- a/services/pomelospar_edge/explanation.cc
+++ b/services/pomelospar_edge/explanation.cc
@@ -15,7 +15,6 @@
 
 #include "libraries/core/identifiers.h"
 #include "libraries/core/milliseconds.h"
-#include "platform/names.h"
 #include "platform/request_headers.h"
 #include "services/pomelospar_edge/placement_decision.h"
 #include "services/pomelospar_edge/request_admission.h"
@@ -23,24 +22,9 @@
 namespace pomelospar::edge {
 namespace {
 
-namespace names = adapter::names;
 using core::ToMilliseconds;
 using nlohmann::json;
 
-constexpr std::string_view kHost = "Host";
-
-/// A field of the question that a caller of the router sends as a header.
-struct HeaderField {
-  std::string_view field;
-  std::string_view header;
-};
-
-constexpr std::array<HeaderField, 6> kHeaderFields = {{{"host", kHost},
-                                                       {"attempt", names::kAttemptId},
-                                                       {"deadline-ms", names::kDeadline},
-                                                       {"tokens", names::kTokens},
-                                                       {"parts", names::kPromptPrefix},
-                                                       {"length-hint", names::kLengthHint}}};
 constexpr std::array<std::string_view, 5> kOtherFields = {"workspace", "method", "path", "body",
                                                           "body-bytes"};
 // Larger bodies are refused before they are placed.
@@ -63,6 +47,7 @@
 
 std::optional<BadField> CheckNames(std::string_view target) {
   std::set<std::string> seen;
+  const auto header_fields = adapter::HeaderFields();
   auto rest = target.substr(std::min(target.find('?'), target.size()));
   while (!rest.empty()) {
     rest.remove_prefix(1);
@@ -72,8 +57,8 @@
     auto name = http::PercentDecode(pair.substr(0, pair.find('=')));
     const bool is_known =
         std::find(kOtherFields.begin(), kOtherFields.end(), name) != kOtherFields.end() ||
-        std::any_of(kHeaderFields.begin(), kHeaderFields.end(),
-                    [&](const HeaderField& header) { return header.field == name; });
+        std::any_of(header_fields.begin(), header_fields.end(),
+                    [&](const adapter::HeaderField& header) { return header.field == name; });
     if (!is_known) return BadField{std::move(name), "is not a field"};
     if (!seen.insert(name).second) return BadField{std::move(name), "is given twice"};
   }
@@ -99,14 +84,14 @@
   if (!IsVisible(request.QueryParameter("host").value_or(""))) {
     return BadField{"host", "must be given, without spaces"};
   }
-  for (const auto& [field, header] : kHeaderFields) {
+  for (const auto& [field, header] : adapter::HeaderFields()) {
     if (auto value = request.QueryParameter(field)) {
       described.headers.push_back({std::string(header), *std::move(value)});
     }
   }
   std::string malformed;
   question.facts = adapter::DecodeRequest(described, malformed);
-  for (const auto& [field, header] : kHeaderFields) {
+  for (const auto& [field, header] : adapter::HeaderFields()) {
     if (header == malformed) return BadField{std::string(field), "is malformed"};
   }
   question.workspace = request.QueryParameter("workspace").value_or("");
