Edge: Make the limit of new connections a setting that is off by default

The limit is now `connection-delay-ms` in the table `[limits]`, absent by default, so deployments are served as before.

--- a/libraries/dispatch/connection_backlog.cc
+++ b/libraries/dispatch/connection_backlog.cc
@@ -8,9 +8,6 @@
 // Processor time to read a request, to place it and to send it to a runner. It is less on a fast
 // processor, where the router then refuses somewhat more than it has to.
 constexpr core::Duration kRequestTime = std::chrono::milliseconds(1);
-// Callers abandon a request that was not read after one second. The estimate may be off by a factor
-// of two.
-constexpr core::Duration kMaxDelay = std::chrono::milliseconds(500);
 // Callers open connections in clumps, also without a flood.
 constexpr std::size_t kAlwaysAccepted = 8;
 // A connection whose first request was not read after this time is taken as idle; else its caller
@@ -22,10 +19,11 @@
 
 bool ConnectionBacklog::TryAdd(core::TimePoint now, core::Duration overdue) {
   this->DropIdle(now);
-  if (this->share > 0.0 && this->accepted.size() >= kAlwaysAccepted) {
+  const bool is_limited = this->share > 0.0 && this->delay_limit > core::Duration::zero();
+  if (is_limited && this->accepted.size() >= kAlwaysAccepted) {
     const auto work = kRequestTime * static_cast<std::int64_t>(this->accepted.size());
     const auto delay = std::chrono::duration<double>(work) / this->share + overdue;
-    if (delay > kMaxDelay) return false;
+    if (delay > this->delay_limit) return false;
   }
   this->accepted.push_back(now);
   return true;
--- a/libraries/dispatch/connection_backlog.h
+++ b/libraries/dispatch/connection_backlog.h
@@ -17,11 +17,15 @@
 class ConnectionBacklog {
  public:
   /// `processor_share` is the part of a core that this process gets, or more than 1 for several
-  /// times the speed of one; 0 if it is not known, and then no connection is refused.
-  void SetProcessorShare(double processor_share) { this->share = processor_share; }
-
-  /// Returns true if a connection that arrives at `now` is served within the time that its caller
-  /// would lose by a retry, and counts it then. `overdue` is the time for which other work of this
+  /// times the speed of one. `max_delay` is the longest time for which a new connection may wait to
+  /// be read. No connection is refused if either is zero.
+  void SetLimits(double processor_share, core::Duration max_delay) {
+    this->share = processor_share;
+    this->delay_limit = max_delay;
+  }
+
+  /// Returns true if a connection that arrives at `now` is read within the limit, and counts it
+  /// then. `overdue` is the time for which other work of this
   /// process is already late.
   bool TryAdd(core::TimePoint now, core::Duration overdue);
   /// Call when the first request of a connection has been read.
@@ -31,6 +35,7 @@
   void DropIdle(core::TimePoint now);
 
   double share = 0.0;
+  core::Duration delay_limit{};
   /// When the connections were accepted, oldest first.
   std::deque<core::TimePoint> accepted;
 };
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -135,7 +135,7 @@
 
 void Edge::ApplyCallerLimits() {
   const auto& settings = this->state.settings;
-  this->backlog.SetProcessorShare(settings.processor_share);
+  this->backlog.SetLimits(settings.processor_share, settings.connection_delay_limit);
   http::ServerLimits limits;
   if (this->state.policy) {
     const auto& declared = this->state.policy->limits;
--- a/tests/libraries/dispatch/connection_backlog_test.cc
+++ b/tests/libraries/dispatch/connection_backlog_test.cc
@@ -15,8 +15,10 @@
 // Share of a core that the smallest instances get, and the time in which it reads a request.
 constexpr double kSmallShare = 0.1;
 constexpr core::Duration kReadTime = milliseconds(10);
-// Callers abandon a request that was not read after this time.
+// Callers abandon a request that was not read after this time. The limit is half of it, as the
+// estimate may be off by a factor of two.
 constexpr core::Duration kAbandoned = seconds(1);
+constexpr core::Duration kLimit = milliseconds(500);
 
 struct FloodResult {
   std::size_t read = 0;
@@ -29,7 +31,7 @@
 FloodResult Flood(double share, core::Duration interval) {
   core::ManualClock clock;
   ConnectionBacklog backlog;
-  backlog.SetProcessorShare(share);
+  backlog.SetLimits(share, kLimit);
   FloodResult result;
   std::deque<core::TimePoint> unread;
   const auto end = clock.now() + seconds(2);
@@ -78,7 +80,7 @@
 TEST(ConnectionBacklogTest, ForgetsConnectionsWithoutARequest) {
   core::ManualClock clock;
   ConnectionBacklog backlog;
-  backlog.SetProcessorShare(kSmallShare);
+  backlog.SetLimits(kSmallShare, kLimit);
   while (backlog.TryAdd(clock.now(), core::Duration::zero())) {
   }
   clock.Advance(seconds(1));
@@ -90,13 +92,16 @@
 TEST(ConnectionBacklogTest, AcceptsAClumpAndHeedsOtherWork) {
   core::ManualClock clock;
   ConnectionBacklog backlog;
-  backlog.SetProcessorShare(0.001);
+  backlog.SetLimits(0.001, kLimit);
   for (int connection = 0; connection < 8; ++connection) {
     EXPECT_TRUE(backlog.TryAdd(clock.now(), seconds(5)));
   }
-  backlog.SetProcessorShare(1.0);
+  backlog.SetLimits(1.0, kLimit);
   EXPECT_FALSE(backlog.TryAdd(clock.now(), seconds(5)));
   EXPECT_TRUE(backlog.TryAdd(clock.now(), core::Duration::zero()));
+  // Without a limit nothing is refused.
+  backlog.SetLimits(1.0, core::Duration::zero());
+  EXPECT_TRUE(backlog.TryAdd(clock.now(), seconds(5)));
 }
 
 }  // namespace
--- a/tests/system/platform_router.py
+++ b/tests/system/platform_router.py
@@ -31,7 +31,7 @@
 ready = "{ip}:{ready}"
 [limits]
 memory-mb = {memory_mb}
-cpu-share = {processor_share}
+{more_limits}
 max-fds = {descriptors}
 [bounds]
 revoke-ms = 5000
@@ -63,7 +63,7 @@
 class Router:
     """One router process and its log. Each router of a fleet needs an IP address of its own."""
 
-    def __init__(self, store_port, ip="127.0.0.1", domain="a", memory_mb=260, descriptors=4100, processor_share=0.0):
+    def __init__(self, store_port, ip="127.0.0.1", domain="a", memory_mb=260, descriptors=4100, more_limits=""):
         self.ip, self.caller_port, self.ready_port = ip, free_port(), free_port()
         self.directory = tempfile.TemporaryDirectory()
         self.settings_path = os.path.join(self.directory.name, "settings.toml")
@@ -78,7 +78,7 @@
                     store=store_port,
                     memory_mb=memory_mb,
                     descriptors=descriptors,
-                    processor_share=processor_share,
+                    more_limits=more_limits,
                 )
             )
         self.log_path = os.path.join(self.directory.name, "log")
@@ -168,14 +168,14 @@
 class RouterTestCase(unittest.TestCase):
     """A test of one router with two engines and two plain services."""
 
-    # Part of a core that the router's settings state; 0: nothing is stated.
-    processor_share = 0.0
+    # Further lines of the table `[limits]` of the router's settings.
+    more_limits = ""
 
     def setUp(self):
         self.platform = Platform()
         self.platform.configure(3, [KEY])
         self.engines = [self.platform.add_runner(f"i-e{n}", "engines") for n in (1, 2)]
         self.desk = [self.platform.add_runner(f"i-d{n}", "desk") for n in (1, 2)]
-        self.router = Router(self.platform.store_port, processor_share=self.processor_share)
+        self.router = Router(self.platform.store_port, more_limits=self.more_limits)
         self.addCleanup(self.router.end)
         self.assertTrue(until(self.router.is_ready, 5))
--- a/tests/system/test_connection_flood.py
+++ b/tests/system/test_connection_flood.py
@@ -82,7 +82,7 @@
 
 class KnownShareTest(ConnectionFloodTest):
     # The same for a router that knows its part of a core and refuses connections before it reads from them.
-    processor_share = QUOTA_SECONDS / PERIOD_SECONDS
+    more_limits = f"cpu-share = {QUOTA_SECONDS / PERIOD_SECONDS}\nconnection-delay-ms = 500"
 
     def test_every_caller_is_answered_before_its_deadline(self):
         super().test_every_caller_is_answered_before_its_deadline()
