--- a/services/pomelospar_edge/crash_probe.h
+++ b/services/pomelospar_edge/crash_probe.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "libraries/core/clock.h"
+#include "libraries/dispatch/runner.h"
 #include "services/pomelospar_edge/router_state.h"
 
 namespace pomelospar::edge {
@@ -14,6 +15,12 @@
 inline constexpr core::Duration kCrashProbeDelay = std::chrono::milliseconds(20);
 inline constexpr core::Duration kCrashProbeTimeout = std::chrono::milliseconds(200);
 
+/// After lost connections, records a crash of the runner with the requests that it interrupted, if
+/// it accepts no new connection. A faulty runner that only broke off its responses still listens.
+/// `crash` is a key of `RouterState::interrupted_requests`, which is removed then.
+boost::asio::awaitable<void> ConfirmCrash(RouterState& state, std::uint64_t crash,
+                                          dispatch::RunnerRecord runner);
+
 /// Returns when it is known whether the runner crashed, at the latest after the time of one probe.
 /// `crash` is a key of `RouterState::interrupted_requests`.
 boost::asio::awaitable<void> AwaitProbe(RouterState& state, std::uint64_t crash);
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -21,6 +21,12 @@
 
 namespace pomelospar::edge {
 
+/// The table of this fleet in the store.
+inline constexpr std::string_view kFleetTable = "pomelospar";
+/// The users' data sheets state 4 ms for an answer; a call that takes longer than this is lost, or
+/// the store is down.
+inline constexpr core::Duration kStoreCallTimeout = std::chrono::milliseconds(700);
+
 /// Keeps this router's configuration and its lists of runners and routers up to date with the
 /// store. To spare the store, only one router of the fleet, or of each failure domain of a large
 /// fleet, queries it permanently. The others use the proofs in that router's reports, and query the
