--- a/libraries/dispatch/processor_load.cc
+++ b/libraries/dispatch/processor_load.cc
@@ -55,9 +55,7 @@
 }
 
 core::Duration BeyondQuotaPause(core::Duration overdue) {
-  constexpr auto kPause = std::chrono::duration<double, std::milli>(kQuotaPauseMs);
-  return std::max(overdue - std::chrono::duration_cast<core::Duration>(kPause),
-                  core::Duration::zero());
+  return std::max(overdue - core::FromMilliseconds(kQuotaPauseMs), core::Duration::zero());
 }
 
 bool ProcessorLoad::MayAccept(core::Duration overdue, core::Duration paused) const {
