--- a/utilities/pomelosparctl/commands.cc
+++ b/utilities/pomelosparctl/commands.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "libraries/configuration/daemon_settings.h"
+#include "libraries/http/message.h"
 #include "utilities/pomelosparctl/output.h"
 
 namespace pomelospar::pomelosparctl {
@@ -118,14 +119,14 @@
     return Call(options, "GET", "/v1/quarantine", nullptr, PrintQuarantine);
   }
   if (action == "clear" && options.arguments.size() == 2) {
-    return Call(options, "DELETE", "/v1/quarantine/" + PercentEncode(options.arguments[1]), nullptr,
-                PrintMessage);
+    return Call(options, "DELETE", "/v1/quarantine/" + http::PercentEncode(options.arguments[1]),
+                nullptr, PrintMessage);
   }
   return Fail(kUsageError, "write `quarantine list` or `quarantine clear FINGERPRINT`");
 }
 
 int Explain(const Options& options) {
-  return Call(options, "GET", "/v1/requests/" + PercentEncode(options.arguments[0]), nullptr,
+  return Call(options, "GET", "/v1/requests/" + http::PercentEncode(options.arguments[0]), nullptr,
               PrintRequest);
 }
 
@@ -145,16 +146,6 @@
   return exit_code;
 }
 
-std::string PercentEncode(std::string_view text) {
-  std::string encoded;
-  for (const char c : text) {
-    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-                       c == '-' || c == '_' || c == '.' || c == '~';
-    encoded += plain ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
-  }
-  return encoded;
-}
-
 core::Result<std::string> ReadFile(const std::string& name) {
   std::ifstream file(name, std::ios::binary);
   std::string content{std::istreambuf_iterator<char>(file), {}};
--- a/utilities/pomelosparctl/commands.h
+++ b/utilities/pomelosparctl/commands.h
@@ -54,11 +54,6 @@
 /// Prints `message` to standard error and returns `exit_code`.
 int Fail(int exit_code, std::string_view message);
 
-/// Percent-encodes all but the unreserved characters of RFC 3986, so that an argument cannot add
-/// segments or a query to a path, or fields to a query. The segments "." and ".." stay as they are,
-/// because "." is unreserved.
-std::string PercentEncode(std::string_view text);
-
 core::Result<std::string> ReadFile(const std::string& name);
 
 /// Makes a client from the flags and the settings file. Errors: `kInvalidArgument` if the settings
--- a/utilities/pomelosparctl/place_command.cc
+++ b/utilities/pomelosparctl/place_command.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "libraries/http/message.h"
 #include "utilities/pomelosparctl/commands.h"
 #include "utilities/pomelosparctl/output.h"
 
@@ -52,8 +53,8 @@
   if (options.servers.empty()) {
     return Fail(kUsageError, "name the metrics address of a router: --server=IP:9464");
   }
-  auto target = fmt::format("/explain?host={}&path={}", PercentEncode(options.arguments[0]),
-                            PercentEncode(options.arguments[1]));
+  auto target = fmt::format("/explain?host={}&path={}", http::PercentEncode(options.arguments[0]),
+                            http::PercentEncode(options.arguments[1]));
   for (std::size_t index = 2; index < options.arguments.size(); ++index) {
     const std::string_view argument = options.arguments[index];
     const auto equals = argument.find('=');
@@ -62,8 +63,8 @@
                                            "workspace=NAME",
                                            argument));
     }
-    target += fmt::format("&{}={}", PercentEncode(argument.substr(0, equals)),
-                          PercentEncode(argument.substr(equals + 1)));
+    target += fmt::format("&{}={}", http::PercentEncode(argument.substr(0, equals)),
+                          http::PercentEncode(argument.substr(equals + 1)));
   }
   // The metrics listener needs no token, so none is sent to it.
   const AdminClient client = {.servers = options.servers,
