Dispatch, Edge: Compute when a runner is warm again in one place

The end of the cold time was computed by three callers. The longest window of a low rate of starts now follows from the longest cold time instead of a constant of its own.

--- a/libraries/dispatch/cold_runners.cc
+++ b/libraries/dispatch/cold_runners.cc
@@ -10,14 +10,12 @@
 
 constexpr core::Duration kShortestGrantWindow = std::chrono::seconds(1);
 
-// Starts per second. A runner is cold for at most `kLongestColdTime`, so a lower rate would still
-// mean one start.
-constexpr double kLowestRate = 1.0 / 60.0;
-
-// A rate below one start per second is one start in a longer window.
+// A rate below one start per second is one start in a longer window. A runner is cold for at most
+// `kLongestColdTime`, so a still lower rate means one start too.
 core::Duration GrantWindow(double per_second) {
   if (per_second >= 1.0) return kShortestGrantWindow;
-  const std::chrono::duration<double> window(1.0 / std::max(per_second, kLowestRate));
+  const std::chrono::duration<double> window(1.0 / per_second);
+  if (window >= kLongestColdTime) return kLongestColdTime;
   return std::chrono::duration_cast<core::Duration>(window);
 }
 
@@ -35,10 +33,12 @@
   state.told_until = std::max(state.told_until, EndOf(now, left));
 }
 
-bool IsCold(const ColdState& state, core::TimePoint now) {
-  return now < std::max(state.observed_until, state.told_until);
+core::TimePoint ColdUntil(const ColdState& state) {
+  return std::max(state.observed_until, state.told_until);
 }
 
+bool IsCold(const ColdState& state, core::TimePoint now) { return now < ColdUntil(state); }
+
 core::Duration ObservedColdTime(const ColdState& state, core::TimePoint now) {
   return std::max(state.observed_until - now, core::Duration::zero());
 }
--- a/libraries/dispatch/cold_runners.h
+++ b/libraries/dispatch/cold_runners.h
@@ -37,6 +37,9 @@
 /// Records what the runner's entry or another router says.
 void TellCold(ColdState& state, core::TimePoint now, core::Duration left);
 
+/// Returns when the runner is warm again, whoever says so.
+core::TimePoint ColdUntil(const ColdState& state);
+
 bool IsCold(const ColdState& state, core::TimePoint now);
 
 /// Returns the time to tell the other routers; zero if this router observed nothing itself.
--- a/services/pomelospar_edge/explanation.cc
+++ b/services/pomelospar_edge/explanation.cc
@@ -227,8 +227,7 @@
   json entry = {{"id", runner.record.id}, {"domain", runner.record.domain}};
   std::string_view reason = NameOf(ExclusionOf(state, runner, {}, now));
   if (IsCold(state, runner)) {
-    const auto until = std::max(runner.cold.observed_until, runner.cold.told_until);
-    entry["cold_left_ms"] = ToMilliseconds(until - now);
+    entry["cold_left_ms"] = ToMilliseconds(dispatch::ColdUntil(runner.cold) - now);
   }
   const auto found = std::find(survey.candidates.begin(), survey.candidates.end(), &runner);
   const auto index = static_cast<std::size_t>(found - survey.candidates.begin());
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -19,12 +19,12 @@
 }
 
 void LogCold(RouterState& state, const Runner& runner, std::string_view reason) {
-  const auto until = std::max(runner.cold.observed_until, runner.cold.told_until);
-  state.log.Write(core::LogLevel::kInfo, "runner_cold",
-                  {{"runner", runner.record.id},
-                   {"domain", runner.record.domain},
-                   {"reason", reason},
-                   {"left_ms", core::ToMilliseconds(until - state.clock.now())}});
+  state.log.Write(
+      core::LogLevel::kInfo, "runner_cold",
+      {{"runner", runner.record.id},
+       {"domain", runner.record.domain},
+       {"reason", reason},
+       {"left_ms", core::ToMilliseconds(dispatch::ColdUntil(runner.cold) - state.clock.now())}});
 }
 
 std::uint64_t CountRequestsIn(const RouterState& state, std::string_view domain) {
