--- a/services/pomelospar_edge/engine_coordinator.cc
+++ b/services/pomelospar_edge/engine_coordinator.cc
@@ -145,8 +145,9 @@
   if (coordinator == this->state.settings.ip) {
     co_return suspects.TryGrantTrial(this->state.clock.now(), subject);
   }
-  const auto reply =
-      co_await this->Ask(coordinator, {.engine = subject, .is_crash_trial = true}, {});
+  const dispatch::PlacementProposal proposal = {.engine = subject, .is_crash_trial = true};
+  const dispatch::EngineLoad no_load;
+  const auto reply = co_await this->Ask(coordinator, proposal, no_load);
   const bool is_granted = reply && reply->is_accepted;
   if (is_granted) {
     suspects.BeginTrial(this->state.clock.now(), subject);
@@ -191,9 +192,7 @@
   if (proposal.is_crash_trial) {
     reply.is_accepted =
         this->state.suspects.TryGrantTrial(this->state.clock.now(), proposal.engine);
-    dispatch::PeerReport answer;
-    answer.reply = reply;
-    this->peers.SendPartial(report.sender, std::move(answer));
+    this->Reply(report.sender, reply);
     return;
   }
   reply.others = this->state.peers.LoadWithout(report.sender, proposal.engine);
@@ -210,9 +209,13 @@
   }
   const auto sender = report.sender;
   if (reply.is_accepted) this->state.peers.Apply(std::move(report), this->state.clock.now());
-  dispatch::PeerReport answer;
-  answer.reply = reply;
-  this->peers.SendPartial(sender, std::move(answer));
+  this->Reply(sender, reply);
+}
+
+void EngineCoordinator::Reply(const std::string& sender, const dispatch::PlacementReply& reply) {
+  dispatch::PeerReport report;
+  report.reply = reply;
+  this->peers.SendPartial(sender, std::move(report));
 }
 
 void EngineCoordinator::OnReply(const dispatch::PlacementReply& reply) {
--- a/services/pomelospar_edge/engine_coordinator.h
+++ b/services/pomelospar_edge/engine_coordinator.h
@@ -60,6 +60,7 @@
   bool TryGrantColdStart(const Runner& runner);
   void OnPartialReport(dispatch::PeerReport report);
   void Decide(dispatch::PeerReport report);
+  void Reply(const std::string& sender, const dispatch::PlacementReply& reply);
   void OnReply(const dispatch::PlacementReply& reply);
   /// Tells the coordinator soon that this router's load on the runner became smaller.
   void ReportSoon(const Runner& runner);
