--- a/libraries/dispatch/connection_backlog.cc
+++ b/libraries/dispatch/connection_backlog.cc
@@ -18,9 +18,9 @@
 }  // namespace
 
 bool ConnectionBacklog::TryAdd(core::TimePoint now, core::Duration overdue) {
+  if (!this->is_limited()) return true;
   this->DropIdle(now);
-  const bool is_limited = this->share > 0.0 && this->delay_limit > core::Duration::zero();
-  if (is_limited && this->accepted.size() >= kAlwaysAccepted) {
+  if (this->accepted.size() >= kAlwaysAccepted) {
     const auto work = kRequestTime * static_cast<std::int64_t>(this->accepted.size());
     const auto delay = std::chrono::duration<double>(work) / this->share + overdue;
     if (delay > this->delay_limit) return false;
--- a/libraries/dispatch/connection_backlog.h
+++ b/libraries/dispatch/connection_backlog.h
@@ -25,18 +25,20 @@
   }
 
   /// Returns true if a connection that arrives at `now` is read within the limit, and counts it
-  /// then. `overdue` is the time for which other work of this
-  /// process is already late.
+  /// then. `overdue` is the time for which other work of this process is already late.
   bool TryAdd(core::TimePoint now, core::Duration overdue);
   /// Call when the first request of a connection has been read.
   void OnFirstRequest(core::TimePoint now);
 
  private:
+  bool is_limited() const {
+    return this->share > 0.0 && this->delay_limit > core::Duration::zero();
+  }
   void DropIdle(core::TimePoint now);
 
   double share = 0.0;
   core::Duration delay_limit{};
-  /// When the connections were accepted, oldest first.
+  /// When the connections were accepted, oldest first. Not kept without a limit.
   std::deque<core::TimePoint> accepted;
 };
 
