Edge: Use the existing lookups of runners, rows and verdicts

AllRunnersEvacuated searched the runners of an upstream as RunnersOf does, the key of a router's row was put together in three places, and RequestSession wrapped a verdict for one caller.

--- a/services/pomelospar_edge/placement_decision.cc
+++ b/services/pomelospar_edge/placement_decision.cc
@@ -139,10 +139,10 @@
 
 bool AllRunnersEvacuated(const RouterState& state, const dispatch::UpstreamPolicy& upstream) {
   if (state.evacuations.domains.empty()) return false;
-  const auto found = state.runners_by_upstream.find(upstream.name);
-  return found != state.runners_by_upstream.end() &&
-         std::all_of(found->second.begin(), found->second.end(),
-                     [&](const auto& runner) { return IsEvacuated(state, *runner); });
+  const auto runners = RunnersOf(state, upstream);
+  return !runners.empty() && std::all_of(runners.begin(), runners.end(), [&](const auto& runner) {
+    return IsEvacuated(state, *runner);
+  });
 }
 
 std::vector<dispatch::EngineOption> DescribeEngines(const RouterState& state,
--- a/services/pomelospar_edge/request_session.h
+++ b/services/pomelospar_edge/request_session.h
@@ -124,7 +124,6 @@
   /// Ends an attempt whose response is too large.
   AttemptEnd RejectOversizedResponse(http::UpstreamConnection& connection, std::string_view what);
   void OnFirstEvent();
-  dispatch::SuspectVerdict VerdictFor(std::uint64_t subject) const;
   /// Returns true if runners have crashed under the request or under a part of its prompt, so that
   /// it must not be sent.
   bool IsRefusedAsSuspect() const;
--- a/services/pomelospar_edge/runner_attempt.cc
+++ b/services/pomelospar_edge/runner_attempt.cc
@@ -67,10 +67,6 @@
 
 }  // namespace
 
-SuspectVerdict RequestSession::VerdictFor(std::uint64_t subject) const {
-  return this->state.suspects.VerdictFor(this->state.clock.now(), subject);
-}
-
 bool RequestSession::IsRefusedAsSuspect() const {
   return edge::IsRefusedAsSuspect(this->state, this->subjects);
 }
@@ -82,9 +78,10 @@
 }
 
 Refusal RequestSession::SuspectRefusal() {
+  const auto now = this->state.clock.now();
   for (const auto subject : this->subjects) {
-    if (this->VerdictFor(subject) != SuspectVerdict::kRefused) continue;
-    this->state.suspects.OnRefused(this->state.clock.now(), subject);
+    if (this->state.suspects.VerdictFor(now, subject) != SuspectVerdict::kRefused) continue;
+    this->state.suspects.OnRefused(now, subject);
     this->state.log.Write(LogLevel::kInfo, "refused_as_suspect",
                           {{"request", this->facts.attempt_id},
                            {"subject", fmt::format("{:x}", subject)},
--- a/services/pomelospar_edge/store_registration.cc
+++ b/services/pomelospar_edge/store_registration.cc
@@ -42,6 +42,10 @@
 // than the cuts between routers that are expected.
 constexpr core::Duration kSilentRouterTime = std::chrono::seconds(60);
 
+std::string RouterRowKey(std::string_view name) {
+  return std::string(kRouterRowPrefix).append(name);
+}
+
 std::string RandomKey() {
   return fmt::format("{:016x}{:016x}{:016x}{:016x}", core::RandomNonZero(), core::RandomNonZero(),
                      core::RandomNonZero(), core::RandomNonZero());
@@ -123,7 +127,7 @@
   for (const auto& peer : silent) {
     adapter::ConditionalWrite write = {
         .table = std::string(kFleetTable),
-        .key = std::string(kRouterRowPrefix) + peer.name,
+        .key = RouterRowKey(peer.name),
         .remove = true,
         .expected_version = static_cast<std::int64_t>(peer.row_version)};
     const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
@@ -164,10 +168,9 @@
   const nlohmann::json row = {{"address", this->peers.address()},
                               {"domain", this->router.settings.domain}};
   while (!this->router.stop) {
-    adapter::ConditionalWrite write = {
-        .table = std::string(kFleetTable),
-        .key = std::string(kRouterRowPrefix) + this->router.settings.ip,
-        .value = row.dump()};
+    adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
+                                       .key = RouterRowKey(this->router.settings.ip),
+                                       .value = row.dump()};
     const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
     if (written) {
       this->is_registered = true;
@@ -181,10 +184,9 @@
 asio::awaitable<void> StoreSync::Unregister() {
   asio::steady_timer timer(this->router.io);
   while (true) {
-    adapter::ConditionalWrite write = {
-        .table = std::string(kFleetTable),
-        .key = std::string(kRouterRowPrefix) + this->router.settings.ip,
-        .remove = true};
+    adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
+                                       .key = RouterRowKey(this->router.settings.ip),
+                                       .remove = true};
     const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
     if (written) break;
     this->router.log.Write(LogLevel::kInfo, "unregister_failed",
