--- a/tests/system/test_crashing_parts.py
+++ b/tests/system/test_crashing_parts.py
@@ -27,6 +27,10 @@
 TROUBLE_SECONDS = 16.0
 # Longer than the time in seconds within which crashes count as one.
 MOMENT_SECONDS = 1.0
+# A look-up that crashes runners comes again this often, after a pause in seconds in which all runners start
+# again.
+LOOK_UPS = 4
+LOOK_UP_PAUSE_SECONDS = 4.0
 # Time in seconds after which crashed runners serve again.
 CRASH_RECOVERY_SECONDS = 3.0
 
@@ -192,6 +196,29 @@
             time.sleep(MOMENT_SECONDS)
         self.assertLessEqual(self.count_crashing_requests() - before, 1)
 
+    # Guards against one look-up that takes all runners down each time it comes: the router retries it and its
+    # caller repeats it elsewhere before anybody has counted the crash.
+    def test_contains_a_look_up_that_is_retried_at_once(self):
+        self.start_fleet("desk", 3, crashing_part=CRASHING_PART, execution_seconds=0.01)
+        # The last part of a prompt is no suspect by itself, so the request as a whole is.
+        headers = {"X-Prompt-Prefix": f"{CRASHING_PART}:40"}
+        for coming in range(LOOK_UPS):
+            for repeat in range(2):
+                router = self.routers[(coming + repeat) % len(self.routers)]
+                router.send(f"attempt-{next(self.numbers)}", "/l/1", "GET", headers=headers, timeout=4)
+            time.sleep(LOOK_UP_PAUSE_SECONDS)
+        self.stop()
+        crashes = sorted(r.crashed_at for r in self.all_runners() if r.crashed_at is not None)
+        self.assertGreaterEqual(len(crashes), 3)
+        late = [
+            request
+            for runner in self.all_runners()
+            for request in runner.requests
+            if request["at"] > crashes[2] + CONTAINMENT_SECONDS
+        ]
+        print(f"{len(crashes)} runners ended; {len(late)} look-ups reached runners late")
+        self.assertLessEqual(len(late), REQUESTS_AFTER_CONTAINMENT)
+
     # Guards against refusing equal requests because they were in progress on runners that crashed for
     # reasons of their own.
     def test_serves_equal_requests_beside_ordinary_crashes(self):
