Http, Edge: Do not close a connection whose request has arrived

What callers saw: a whole request got neither a response nor a refusal (LOST) at routers whose connections were all in use.

Other own decisions that met a request: the planned stop and the idle timeout closed connections whose request waited in the socket, and connections beyond the refusals were closed without a response.

Change: RankForReplacement decides, by time and stage only: drained refusals, then connections silent since they were accepted, stalled requests (503), idle ones, slow requests (503). New connections keep their place for a second, and none whose socket holds bytes is closed. Refusals are bounded as before; beyond them connections wait in the listen queue. Nothing is served on a closed connection. The log tells caller_too_slow from caller_gone, and counts refused_for_limit apart from replaced_connections.

ReplacesConnectionsThatNeverCompletedARequest demanded that a half sent request ends without a response, which is the fault; it now demands 503 not_run.

--- a/libraries/http/byte_stream.cc
+++ b/libraries/http/byte_stream.cc
@@ -129,6 +129,10 @@
   return this->is_open() && Peek(this->state->socket) == Pending::kNothing;
 }
 
+bool ByteStream::HasInput() {
+  return this->is_open() && Peek(this->state->socket) == Pending::kBytes;
+}
+
 bool ByteStream::IsAtEnd() {
   return !this->is_open() || Peek(this->state->socket) == Pending::kEnd;
 }
--- a/libraries/http/byte_stream.h
+++ b/libraries/http/byte_stream.h
@@ -58,6 +58,8 @@
   /// True if the stream is open, no data is waiting to be read and the peer has not closed the
   /// connection. Does not block.
   bool IsIdle();
+  /// Returns true if the peer has sent data that was not read yet.
+  bool HasInput();
   /// True if the stream is closed, or the peer has closed the connection and no data is waiting to
   /// be read. Does not block.
   bool IsAtEnd();
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -25,14 +25,11 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 /// Delay after a failed accept. The usual cause is that the process has no free file descriptors.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
-/// Number of connections beyond the limit that may receive a 503 response concurrently. Further
-/// connections are closed without a response.
-constexpr std::size_t kMaxConcurrentRefusals = 100;
 /// Number of queued connections accepted in one iteration of the event loop. The limit lets
 /// requests in progress continue. It is about as large as a usual listen queue: a connection for
 /// which the queue has no room is tried again by its caller's system after seconds.
 constexpr std::size_t kMaxAcceptsPerTurn = 128;
-/// Interval at which `may_accept` is polled while it returns false.
+/// Interval at which it is checked whether connections may be accepted again.
 constexpr auto kMayAcceptPollInterval = std::chrono::milliseconds(20);
 
 std::string RemoteAddress(const tcp::socket& socket) {
@@ -63,15 +60,12 @@
     const auto executor = socket.get_executor();
     auto stream = this->tls ? std::make_unique<ByteStream>(std::move(socket), *this->tls)
                             : std::make_unique<ByteStream>(std::move(socket));
-    const auto limit = this->server->limits.maximum_connections;
+    const auto open = this->server->connections.size() - this->server->refusing;
     // A crowd that connects and sends nothing must not keep others out.
-    const bool is_replaced =
-        this->server->connections.size() >= limit && CloseIdlest(*this->server);
-    const auto open = this->server->connections.size();
+    const bool is_beyond_limit =
+        open >= this->server->limits.maximum_connections && !MakeRoom(*this->server);
     // A 503 response over TLS requires a handshake, and the limits are there to bound that cost.
-    const auto refusals = std::min(kMaxConcurrentRefusals, limit / 4 + 1);
-    const bool is_beyond_limit = open >= limit && !is_replaced;
-    if (is_beyond_limit && (open >= limit + refusals || this->tls)) return;
+    if (is_beyond_limit && (this->tls || !MayRefuse(*this->server))) return;
     const auto connection = std::make_shared<ServerConnection>(this->server, std::move(stream),
                                                                executor, remote_address);
     if (is_beyond_limit) {
@@ -91,7 +85,10 @@
   }
 
   bool MayAccept(core::Duration paused) const {
-    return this->server->stopping || !this->options.may_accept || this->options.may_accept(paused);
+    if (this->server->stopping) return true;
+    // A connection that could not be refused would have to be closed without a response.
+    if (!MayRefuse(*this->server)) return false;
+    return !this->options.may_accept || this->options.may_accept(paused);
   }
 
   /// Accepts up to `most` connections that are already queued. If each iteration of the event loop
@@ -100,6 +97,7 @@
     boost::system::error_code error;
     this->acceptor.non_blocking(true, error);
     for (std::size_t count = 0; !error && count < most; ++count) {
+      if (!this->server->stopping && !MayRefuse(*this->server)) break;
       tcp::socket socket(this->acceptor.get_executor());
       this->acceptor.accept(socket, error);
       if (!error) this->Start(std::move(socket));
@@ -190,6 +188,10 @@
   return this->state->server->refused_for_memory;
 }
 
+std::uint64_t HttpServer::refused_for_limit() const {
+  return this->state->server->refused_for_limit;
+}
+
 std::uint64_t HttpServer::replaced_connections() const {
   return this->state->server->replaced_connections;
 }
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -43,7 +43,9 @@
   std::uint64_t held_bytes() const;
   /// Requests refused since the start because the memory for requests was used up.
   std::uint64_t refused_for_memory() const;
-  /// Connections closed since the start because others needed their place.
+  /// Connections refused since the start because of the limit of connections.
+  std::uint64_t refused_for_limit() const;
+  /// Idle connections closed since the start because others needed their place.
   std::uint64_t replaced_connections() const;
   /// Reloads the certificate and key files for connections accepted from now on. On an error the
   /// previous certificate and key stay in use.
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -105,24 +105,29 @@
       deadline(io_executor, [this] { this->OnDeadline(); }),
       input_event(io_executor, core::TimePoint::max()),
       read_block(kSmallestReadBlock),
-      last_request_at(std::chrono::steady_clock::now()) {
+      stage_began_at(std::chrono::steady_clock::now()),
+      last_input_at(this->stage_began_at) {
   this->server->connections.insert(this);
 }
 
 ServerConnection::~ServerConnection() {
   this->HoldBytes(0);
+  this->CountAsClosed();
   this->server->connections.erase(this);
 }
 
 void ServerConnection::OnDeadline() {
-  if (this->writing) this->stream->Close();
+  if (this->writing) {
+    this->write_timed_out = true;
+    this->stream->Close();
+  }
   this->input_event.cancel();
 }
 
 void ServerConnection::Close() { this->stream->Close(); }
 
 void ServerConnection::StopWhenIdle() {
-  if (!this->waiting_for_request || !this->input.empty()) return;
+  if (!this->waiting_for_request || !this->input.empty() || this->stream->HasInput()) return;
   if (this->served_a_request) {
     this->stream->Close();
   } else {
@@ -144,13 +149,14 @@
   while (this->stream->is_open()) {
     if (!co_await this->WaitForFirstByte()) break;
     this->reading_request = true;
+    this->stage_began_at = std::chrono::steady_clock::now();
     const auto outcome = co_await this->ReadRequest();
     this->reading_request = false;
     if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
       co_await this->SendRefusal(*refusal);
       break;
     }
-    if (std::holds_alternative<ConnectionEnd>(outcome)) break;
+    if (std::holds_alternative<ConnectionEnd>(outcome) || !this->stream->is_open()) break;
     co_await this->Serve();
     this->served_a_request = true;
     if (this->phase != Phase::kFinished) break;
@@ -163,7 +169,8 @@
 }
 
 asio::awaitable<void> ServerConnection::RefuseForLimit() {
-  return this->Refuse({503, "too many connections; retry later"});
+  this->CountAsRefused();
+  return this->Refuse(ConnectionLimitRefusal());
 }
 
 asio::awaitable<void> ServerConnection::RefuseForLoad() {
@@ -179,11 +186,18 @@
 
 asio::awaitable<bool> ServerConnection::WaitForFirstByte() {
   const bool grace = this->server->stopping && !this->served_a_request;
-  if (this->server->stopping && !grace && this->input.empty()) co_return false;
+  if (this->server->stopping && !grace && this->input.empty() && !this->stream->HasInput()) {
+    co_return false;
+  }
   this->waiting_for_request = true;
   this->deadline.ExpireAfter(grace ? kStopGracePeriod : this->server->limits.keep_alive_timeout);
+  bool extended = false;
   while (this->input.empty()) {
-    if (!co_await this->WaitForMoreInput()) break;
+    if (co_await this->WaitForMoreInput()) continue;
+    // A request that arrived in time is served also if this process noticed it later.
+    if (extended || this->input_closed || !this->stream->HasInput()) break;
+    extended = true;
+    this->deadline.ExpireAfter(kStopGracePeriod);
   }
   this->waiting_for_request = false;
   co_return !this->input.empty();
@@ -194,7 +208,7 @@
   const auto size = this->input.size();
   while (this->input.size() == size) {
     if (this->input_closed || this->deadline.expired() || !this->stream->is_open()) co_return false;
-    if (this->reading_request && this->evicted) co_return false;
+    if (this->reading_request && this->eviction) co_return false;
     this->StartReading();
     co_await this->input_event.async_wait(kTuple);
   }
@@ -216,6 +230,7 @@
       break;
     }
     this->input.append(this->read_block.data(), count);
+    this->last_input_at = std::chrono::steady_clock::now();
     this->input_event.cancel();
     // What arrives while a request is served waits, so a larger block would not help.
     if (!this->serving && count == this->read_block.size() && count < kLargestReadBlock) {
@@ -244,9 +259,10 @@
       co_return Refusal{StatusOf(error), error.message()};
     }
     if (this->server->drop_bodies) ReleaseBuffer(parser.get().body());
-    if (this->evicted || !this->HoldRequest(parser.get().body().size())) {
-      co_return Refusal{503, "too many request bodies are in progress; retry later"};
+    if (!this->eviction && !this->HoldRequest(parser.get().body().size())) {
+      this->eviction = MemoryRefusal();
     }
+    if (this->eviction) co_return *this->eviction;
     if (parser.is_header_done() && !headers_checked) {
       headers_checked = true;
       const auto fault = HeaderError(parser);
@@ -262,7 +278,7 @@
     if (this->input.size() > limits.header_bytes + kLargestReadBlock) {
       co_return Refusal{431, "a chunk header or trailer is too long"};
     }
-    if (co_await this->WaitForMoreInput() || this->evicted) continue;
+    if (co_await this->WaitForMoreInput() || this->eviction) continue;
     if (this->deadline.expired()) co_return Refusal{408, "the request arrived too slowly"};
     co_return ConnectionEnd{};
   }
@@ -303,7 +319,7 @@
   this->current_request = HttpRequest();
   // The assignment above keeps the memory of the body.
   ReleaseBuffer(this->current_request.body);
-  this->last_request_at = std::chrono::steady_clock::now();
+  this->stage_began_at = std::chrono::steady_clock::now();
   this->HoldBytes(0);
 }
 
@@ -335,6 +351,8 @@
 
 asio::awaitable<void> ServerConnection::DrainAndClose() {
   co_await this->stream->ShutdownSend();
+  this->draining = true;
+  this->stage_began_at = std::chrono::steady_clock::now();
   this->deadline.ExpireAfter(kDrainTimeout);
   // g++ 12 miscompiles co_await in the condition of a do-while loop.
   while (true) {
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -7,12 +7,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <unordered_set>
 #include <variant>
 #include <vector>
 
 #include "libraries/http/byte_stream.h"
+#include "libraries/http/connection_replacement.h"
 #include "libraries/http/deadline.h"
 #include "libraries/http/server_exchange.h"
 #include "libraries/http/server_options.h"
@@ -32,26 +32,26 @@
   /// Memory that the connections hold for requests; see `ServerLimits::total_request_bytes`.
   std::uint64_t held_bytes = 0;
   std::unordered_set<ServerConnection*> connections;
-  /// Numbers of connections that were closed for others, and of requests refused for memory.
+  /// Connections that are being refused because the limit of connections was reached.
+  std::size_t refusing = 0;
+  /// Numbers of idle connections that were closed for others, of connections refused for the limit
+  /// of connections, and of requests refused for memory.
   std::uint64_t replaced_connections = 0;
+  std::uint64_t refused_for_limit = 0;
   std::uint64_t refused_for_memory = 0;
 };
 
-/// Order in which connections without a request in progress are closed for new ones: first those
-/// that have never completed a request, which a crowd of slow senders opens, then the ones that
-/// have been idle for the longest time.
-struct IdleRank {
-  bool served_a_request = false;
-  core::TimePoint since{};
+/// Number of connections that may be refused concurrently because the limit of connections was
+/// reached. They are open in addition to that limit.
+std::size_t MaxRefusals(const ServerState& server);
 
-  bool operator<(const IdleRank& other) const {
-    return std::tie(this->served_a_request, this->since) <
-           std::tie(other.served_a_request, other.since);
-  }
-};
+/// Returns true if one more connection may be refused. If necessary, closes one whose caller has
+/// received its refusal.
+bool MayRefuse(ServerState& server);
 
-/// Closes the connection with the lowest rank. Returns false if all have a request in progress.
-bool CloseIdlest(ServerState& server);
+/// Makes room for a new connection: closes the connection with the lowest `ReplacementRank`, or
+/// refuses its request if a part of it has arrived. Returns false if none may be replaced.
+bool MakeRoom(ServerState& server);
 
 /// A caller's connection. Reads requests one after the other and calls the handler for each.
 /// Internal to the library.
@@ -73,10 +73,13 @@
   /// served a request yet is given a short grace period first.
   void StopWhenIdle();
   void Close();
-  /// Ends the unfinished request of a connection whose memory others need, with a 503 response.
-  void EvictRequest();
   /// Nothing while a request is served or a response is written.
-  std::optional<IdleRank> idle_rank() const;
+  std::optional<ReplacementRank> replacement_rank(core::TimePoint now) const;
+  /// Leaves its place to a new connection. Returns false if the caller has sent data that was not
+  /// read yet.
+  bool GiveWay();
+  /// True if the connection is refused because of the limit of connections.
+  bool is_refused() const { return this->counted_as_refused; }
   /// Memory that an unfinished request holds; 0 if none is being read.
   std::uint64_t unfinished_bytes() const;
 
@@ -85,6 +88,7 @@
   bool is_first_request() const { return !this->served_a_request; }
   bool started() const { return this->phase != Phase::kNotStarted; }
   bool disconnected() const { return this->input_closed || !this->stream->is_open(); }
+  bool has_write_timed_out() const { return this->write_timed_out; }
   bool PeerHasClosed();
   void CloseAfterResponse() { this->keep_alive = false; }
   boost::asio::awaitable<core::Result<void>> Respond(HttpResponse response);
@@ -104,6 +108,8 @@
     /// Value of Retry-After if the status is 503.
     std::string_view retry_after = "1";
   };
+  static Refusal MemoryRefusal();
+  static Refusal ConnectionLimitRefusal();
   struct ConnectionEnd {};
   struct RequestRead {};
   using ReadOutcome = std::variant<RequestRead, ConnectionEnd, Refusal>;
@@ -124,6 +130,10 @@
   /// Sets how many bytes of `ServerState::held_bytes` belong to this connection. Returns false if
   /// the total then exceeds the limit for a request of this size.
   bool HoldBytes(std::uint64_t bytes);
+  /// Ends the unfinished request with this response.
+  void EvictRequest(Refusal refusal);
+  void CountAsRefused();
+  void CountAsClosed();
   /// Counts what a request with such a body holds. If the limit is exceeded, the largest unfinished
   /// requests are evicted; returns false if this is one of them.
   bool HoldRequest(std::uint64_t body_bytes);
@@ -150,10 +160,17 @@
   HttpRequest current_request;
   std::uint64_t held_bytes = 0;
   bool reading_request = false;
-  bool evicted = false;
-  core::TimePoint last_request_at;
+  /// Set if the unfinished request must end with a refusal.
+  std::optional<Refusal> eviction;
+  bool counted_as_refused = false;
+  bool draining = false;
+  /// When the connection was accepted, its last request was served, the request in progress began
+  /// or the draining began, whichever was last.
+  core::TimePoint stage_began_at;
+  core::TimePoint last_input_at;
   bool serving = false;
   bool writing = false;
+  bool write_timed_out = false;
   bool keep_alive = false;
   bool body_expected = true;
   Phase phase = Phase::kNotStarted;
--- a/libraries/http/server_connection_limits.cc
+++ b/libraries/http/server_connection_limits.cc
@@ -1,9 +1,13 @@
 // The parts of ServerConnection that count the memory of requests and choose which connections give
 // way when a limit is reached.
 
+#include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "libraries/http/server_connection.h"
 
@@ -13,6 +17,9 @@
 /// Buffers of up to this many bytes, twice those of an idle connection, do not count as memory of a
 /// request; the limit of connections bounds them.
 constexpr std::size_t kUncountedBufferBytes = 28U << 10U;
+constexpr std::size_t kMaxConcurrentRefusals = 100;
+/// Connections that are asked to make room for one new connection.
+constexpr std::size_t kMaxCandidates = 8;
 
 }  // namespace
 
@@ -33,39 +40,105 @@
     }
     ++this->server->refused_for_memory;
     if (largest == this) return false;
-    largest->EvictRequest();
+    largest->EvictRequest(MemoryRefusal());
   }
   return true;
 }
 
-void ServerConnection::EvictRequest() {
-  this->evicted = true;
+ServerConnection::Refusal ServerConnection::MemoryRefusal() {
+  return {503, "too many request bodies are in progress; retry later"};
+}
+
+void ServerConnection::EvictRequest(Refusal refusal) {
+  this->eviction = std::move(refusal);
   this->HoldBytes(0);
   this->input_event.cancel();
 }
 
-std::optional<IdleRank> ServerConnection::idle_rank() const {
-  if (this->serving || this->writing || !this->stream->is_open()) return std::nullopt;
-  return IdleRank{this->served_a_request, this->last_request_at};
+std::optional<ReplacementRank> ServerConnection::replacement_rank(core::TimePoint now) const {
+  if (this->serving || this->writing || this->eviction || !this->stream->is_open()) {
+    return std::nullopt;
+  }
+  ConnectionActivity activity{.served_a_request = this->served_a_request,
+                              .since = this->stage_began_at,
+                              .last_input = this->last_input_at};
+  if (this->draining) {
+    activity.stage = ConnectionStage::kDraining;
+  } else if (this->reading_request) {
+    activity.stage = ConnectionStage::kReading;
+  } else if (!this->waiting_for_request || !this->input.empty()) {
+    return std::nullopt;
+  }
+  return RankForReplacement(now, this->server->limits.replacement_grace, activity);
+}
+
+bool ServerConnection::GiveWay() {
+  if (this->stream->HasInput()) return false;
+  if (this->reading_request) {
+    if (this->server->refusing >= MaxRefusals(*this->server)) return false;
+    this->CountAsRefused();
+    this->EvictRequest(ConnectionLimitRefusal());
+    return true;
+  }
+  if (!this->draining) ++this->server->replaced_connections;
+  // The coroutine ends only in a later turn of the event loop.
+  this->server->connections.erase(this);
+  this->CountAsClosed();
+  this->Close();
+  return true;
+}
+
+ServerConnection::Refusal ServerConnection::ConnectionLimitRefusal() {
+  return {503, "too many connections; retry later"};
+}
+
+void ServerConnection::CountAsRefused() {
+  if (std::exchange(this->counted_as_refused, true)) return;
+  ++this->server->refusing;
+  ++this->server->refused_for_limit;
 }
 
 std::uint64_t ServerConnection::unfinished_bytes() const {
-  return this->reading_request && !this->evicted ? this->held_bytes : 0;
+  return this->reading_request && !this->eviction ? this->held_bytes : 0;
+}
+
+void ServerConnection::CountAsClosed() {
+  if (std::exchange(this->counted_as_refused, false)) --this->server->refusing;
+}
+
+std::size_t MaxRefusals(const ServerState& server) {
+  return std::min(kMaxConcurrentRefusals, server.limits.maximum_connections / 4 + 1);
+}
+
+bool MayRefuse(ServerState& server) {
+  if (server.refusing < MaxRefusals(server)) return true;
+  const auto now = std::chrono::steady_clock::now();
+  const auto drained = std::find_if(
+      server.connections.begin(), server.connections.end(), [now](const auto* connection) {
+        const auto rank = connection->replacement_rank(now);
+        return rank && rank->kind == ReplacementRank::Kind::kDrained && connection->is_refused();
+      });
+  return drained != server.connections.end() && (*drained)->GiveWay();
 }
 
-bool CloseIdlest(ServerState& server) {
-  ServerConnection* idlest = nullptr;
-  std::optional<IdleRank> lowest;
-  for (auto* connection : server.connections) {
-    const auto rank = connection->idle_rank();
-    if (!rank || (lowest && !(*rank < *lowest))) continue;
-    lowest = rank;
-    idlest = connection;
+bool MakeRoom(ServerState& server) {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<const ServerConnection*> kept;
+  while (kept.size() < kMaxCandidates) {
+    ServerConnection* candidate = nullptr;
+    std::optional<ReplacementRank> lowest;
+    for (auto* connection : server.connections) {
+      const auto rank = connection->replacement_rank(now);
+      if (!rank || (lowest && !(*rank < *lowest))) continue;
+      if (std::find(kept.begin(), kept.end(), connection) != kept.end()) continue;
+      lowest = rank;
+      candidate = connection;
+    }
+    if (candidate == nullptr) return false;
+    if (candidate->GiveWay()) return true;
+    kept.push_back(candidate);
   }
-  if (idlest == nullptr) return false;
-  ++server.replaced_connections;
-  idlest->Close();
-  return true;
+  return false;
 }
 
 }  // namespace pomelospar::http
--- a/libraries/http/server_exchange.cc
+++ b/libraries/http/server_exchange.cc
@@ -18,6 +18,8 @@
 
 bool ServerExchange::disconnected() const { return this->connection.disconnected(); }
 void ServerExchange::CloseAfterResponse() { this->connection.CloseAfterResponse(); }
+bool ServerExchange::write_timed_out() const { return this->connection.has_write_timed_out(); }
+
 bool ServerExchange::PeerHasClosed() { return this->connection.PeerHasClosed(); }
 
 asio::awaitable<core::Result<void>> ServerExchange::Respond(HttpResponse response) {
--- a/libraries/http/server_exchange.h
+++ b/libraries/http/server_exchange.h
@@ -36,6 +36,10 @@
   /// True once the caller has closed its connection or the response was aborted.
   bool disconnected() const;
 
+  /// True once this server has closed the connection because the caller did not take a piece of the
+  /// response within `ServerLimits::write_timeout`.
+  bool write_timed_out() const;
+
   /// Checks with a system call whether the caller has closed its connection. `disconnected` reports
   /// this only once the event loop has processed it, which may be late on a busy instance.
   bool PeerHasClosed();
--- a/libraries/http/server_options.h
+++ b/libraries/http/server_options.h
@@ -26,9 +26,12 @@
   core::Duration keep_alive_timeout = std::chrono::seconds(75);
   /// How long the caller may take to accept one piece of a response.
   core::Duration write_timeout = std::chrono::seconds(60);
-  /// Above it, a new connection takes the place of the one that has been without a request in
-  /// progress for the longest time; if all have one, it is refused.
+  /// Above it, a new connection takes the place of one that is idle or does not send; if there is
+  /// none, it is refused.
   std::size_t maximum_connections = 20000;
+  /// A new connection keeps its place for this time, and so does one whose request is being
+  /// received.
+  core::Duration replacement_grace = std::chrono::seconds(1);
   /// Maximum memory that all connections together hold for requests, in bytes: the bodies, from
   /// their first byte until the request has been served, and the input buffers. Without this limit,
   /// many requests within the other limits could together exhaust the memory of a small instance.
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -254,6 +254,7 @@
                    {"request_bytes", this->caller_server->held_bytes()},
                    {"refused_for_memory", this->caller_server->refused_for_memory()},
                    {"replaced_connections", this->caller_server->replaced_connections()},
+                   {"refused_for_limit", this->caller_server->refused_for_limit()},
                    {"policy_age_ms", age}});
   const auto set = [this](std::string_view name, std::string_view help, std::uint64_t value) {
     this->state.metrics.FindGauge(name, help, {}).Set(static_cast<double>(value));
@@ -262,8 +263,11 @@
       this->caller_server->held_bytes());
   set("pomelospar_requests_refused_for_memory", "Requests refused for memory since the start.",
       this->caller_server->refused_for_memory());
-  set("pomelospar_connections_replaced", "Connections closed for new ones since the start.",
+  set("pomelospar_connections_replaced", "Idle connections closed for new ones since the start.",
       this->caller_server->replaced_connections());
+  set("pomelospar_connections_refused_for_limit",
+      "Connections refused since the start because too many were open.",
+      this->caller_server->refused_for_limit());
   this->LogShares();
 }
 
--- a/services/pomelospar_edge/request_session.cc
+++ b/services/pomelospar_edge/request_session.cc
@@ -358,6 +358,7 @@
 }
 
 void RequestSession::LogEnd(unsigned status, std::string_view outcome, std::string_view reason) {
+  if (outcome == "caller_gone" && this->exchange.write_timed_out()) outcome = "caller_too_slow";
   const auto now = this->state.clock.now();
   const double total_ms = ToMilliseconds(now - this->received);
   const auto route_name =
