--- a/tests/libraries/http/connection_limit_test.cc
+++ b/tests/libraries/http/connection_limit_test.cc
@@ -20,7 +20,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using testing::HasSubstr;
-using testing::StartsWith;
 
 constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -39,7 +38,9 @@
   asio::awaitable<void> Serve(ServerExchange& exchange, std::chrono::milliseconds service_time) {
     ++this->handled;
     if (exchange.disconnected()) ++this->handled_after_close;
-    if (service_time > std::chrono::milliseconds::zero()) co_await Pause(service_time);
+    if (service_time > std::chrono::milliseconds::zero()) {
+      co_await Pause(service_time);
+    }
     HttpResponse response;
     response.body = "done|";
     std::ignore = co_await exchange.Respond(std::move(response));
