Tests: Bytes without end from the store, to slow readers, and from runners of pomelospard

Another operator reported a machine that kept what a faulty runner sent without end and ran out of memory. test_endless_responses covered runners of pomelospar_edge only.

--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -44,7 +44,8 @@
 class Store:
     """Versioned rows by table and key.
 
-    `mode` is "ok", "reset" (closes connections), "silent" (never responds) or an HTTP error status.
+    `mode` is "ok", "reset" (closes connections), "silent" (never responds), an HTTP error status or a key of
+    `ENDLESS_RESPONSES`, which sends bytes until the connection is closed.
     `write_mode` concerns writes only, while reads are served: "ok", "lost" (a write is applied, but the
     connection is closed without a response) or an HTTP error status, with which nothing is written.
     """
@@ -93,6 +94,11 @@
                 break
             if self.mode == "silent":
                 await asyncio.sleep(3600)
+            if self.mode in ENDLESS_RESPONSES:
+                try:
+                    await send_without_end(writer, self.mode, [])
+                except ConnectionError:
+                    break
             if self.mode != "ok":
                 writer.write(response(self.mode))
                 continue
@@ -173,6 +179,17 @@
         "4000\r\n" + "x" * 16384 + "\r\n"),
 }
 
+
+async def send_without_end(writer, fault, known, sent=lambda count: None):
+    """Sends the endless response until the connection is closed; calls `sent` with the bytes of each piece."""
+    start, repeated = ENDLESS_RESPONSES[fault]
+    writer.write(start.replace("{known}", "".join(f"{n}: {v}\r\n" for n, v in known)).encode())
+    while True:
+        writer.write(repeated.encode())
+        await writer.drain()
+        sent(len(repeated))
+
+
 # Start of each response that continues with a few bytes every 100 ms, by fault name.
 SLOW_RESPONSES = {
     "trickle_head": "HTTP/1.1 200 OK\r\nX-Slow: ",
@@ -360,13 +377,10 @@
             await asyncio.sleep(0.1)
 
     async def send_endless_response(self, known, writer):
-        start, repeated = ENDLESS_RESPONSES[self.fault]
-        lines = "".join(f"{n}: {v}\r\n" for n, v in known)
-        writer.write(start.replace("{known}", lines).encode())
-        while True:
-            writer.write(repeated.encode())
-            await writer.drain()
-            self.endless_bytes_sent += len(repeated)
+        def count(size):
+            self.endless_bytes_sent += size
+
+        await send_without_end(writer, self.fault, known, count)
 
     async def reset(self, writer):
         await writer.drain()
--- a/tests/system/test_endless_responses.py
+++ b/tests/system/test_endless_responses.py
@@ -1,18 +1,22 @@
 """Runners whose responses never end, until the router closes the connection."""
 
 import os
+import socket
 import sys
 import threading
 import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import RouterTestCase, until  # noqa: E402
+from platform_router import KEY, RouterTestCase, caller_headers, until  # noqa: E402
 from table_platform import ENDLESS_RESPONSES, SLOW_RESPONSES  # noqa: E402
 
 # The smallest memory of an instance in the users' deployment sheets.
 MEMORY_LIMIT_MB = 160
 CONCURRENT_REQUESTS = 200
+SLOW_READERS = 60
+# The store sends without end for this time in seconds; the router calls it several times meanwhile.
+ENDLESS_STORE_SECONDS = 1.0
 # Time objective of the routes: a request to such a runner has to end within it.
 OBJECTIVE_SECONDS = 0.6
 
@@ -106,6 +110,43 @@
         self.assertEqual(status, 200)
         self.assertEqual(body.count(b"data: part-"), 4)
 
+    # Guards against events that are kept for callers who stop reading, while their runners go on sending.
+    def test_streams_that_are_not_read_hold_little_memory(self):
+        for runner in self.engines:
+            runner.event_interval, runner.events = 0.0, 10**9
+        readers = []
+        for number in range(SLOW_READERS):
+            reader = socket.create_connection((self.router.ip, self.router.caller_port), timeout=5)
+            # The router has to hold what the buffers of the system do not take.
+            reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            headers = caller_headers(f"reader-{number}", KEY) | {"Content-Length": "0"}
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            reader.sendall("\r\n".join(["POST /s/1 HTTP/1.1", *lines, "", ""]).encode())
+            readers.append(reader)
+        time.sleep(3)
+        self.assertLess(resident_mb(self.router.process), MEMORY_LIMIT_MB)
+        status, _, _ = self.router.send("sound", "/b/1")
+        self.assertEqual(status, 200)
+        for reader in readers:
+            reader.close()
+        self.assertTrue(until(lambda: self.router.send("after", "/b/1")[0] == 200, 5))
+
+
+class EndlessStoreTest(RouterTestCase):
+    # Guards against a store, or what answers in its place, whose bytes without end take the memory of the router or
+    # its processor time.
+    def test_the_router_outlives_a_store_that_sends_without_end(self):
+        for fault in ENDLESS_RESPONSES:
+            with self.subTest(fault=fault):
+                self.platform.store.mode = fault
+                time.sleep(ENDLESS_STORE_SECONDS)
+                status, _, _ = self.router.send(f"during-{fault}", "/b/1")
+                self.assertEqual(status, 200)
+                self.assertLess(resident_mb(self.router.process), MEMORY_LIMIT_MB)
+                self.platform.store.mode = "ok"
+                self.assertTrue(until(self.router.is_ready, 15))
+        self.assertIsNone(self.router.process.poll())
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- /dev/null
+++ b/tests/system/test_endless_runners.py
@@ -0,0 +1,111 @@
+"""Runners of pomelospard whose responses never end, until the router closes the connection."""
+
+import http.client
+import os
+import socket
+import sys
+import threading
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+import fleet as f  # noqa: E402
+from table_platform import ENDLESS_RESPONSES  # noqa: E402
+
+CONCURRENT_REQUESTS = 40
+MAXIMUM_ANSWER_BYTES = 1 << 20
+# Memory that the process may use beside the responses, in MB.
+OWN_MEMORY_MB = 64
+
+
+class EndlessRunner:
+    """Sends the response without end that `fault` names, whatever it is asked; other paths get a short body."""
+
+    def __init__(self):
+        self.fault = None
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.open = 0
+        self.lock = threading.Lock()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=[connection], daemon=True).start()
+
+    def count(self, change):
+        with self.lock:
+            self.open += change
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as stream:
+            while request := stream.readline():
+                headers = {}
+                while line := stream.readline().strip():
+                    name, _, value = line.partition(b":")
+                    headers[name.lower()] = value.strip()
+                stream.read(int(headers.get(b"content-length", 0)))
+                if b"/sound" in request:
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                    continue
+                start, repeated = ENDLESS_RESPONSES[self.fault]
+                identifier = headers[b"pomelospar-request-id"].decode()
+                self.count(1)
+                try:
+                    connection.sendall(start.replace("{known}", f"Pomelospar-Request-Id: {identifier}\r\n").encode())
+                    while True:
+                        connection.sendall(repeated.encode())
+                except OSError:
+                    return
+                finally:
+                    self.count(-1)
+
+
+class EndlessRunnersTest(unittest.TestCase):
+    # Guards against a router that keeps what a faulty runner sends without end, for each part of a response, and
+    # against other requests that end with it.
+    def test_responses_without_end_are_bounded(self):
+        runner = EndlessRunner()
+        self.addCleanup(runner.listener.close)
+        fleet = self.enterContext(f.Fleet())
+        fleet.start_platform()
+        router = fleet.start_routers(["a"])[0]
+        runners = [{"address": runner.address, "domain": "a", "slots": CONCURRENT_REQUESTS + 1}]
+        limits = {"queue_timeout": "20s", "maximum_answer_bytes": f"{MAXIMUM_ANSWER_BYTES}B"}
+        fleet.apply_and_wait(
+            f.fleet_document({"atlas": {}}, [f.service_upstream(runners)], f.STANDARD_ROUTES[1:], limits=limits))
+        for fault in ENDLESS_RESPONSES:
+            with self.subTest(fault=fault):
+                runner.fault = fault
+                outcomes = []
+
+                def call(number):
+                    try:
+                        outcomes.append(router.post(f"/orders/{fault}-{number}", {}, "atlas")[0])
+                    except (OSError, http.client.HTTPException) as error:
+                        outcomes.append(error)
+
+                callers = [threading.Thread(target=call, args=[n]) for n in range(CONCURRENT_REQUESTS)]
+                for caller in callers:
+                    caller.start()
+                status, _, content = router.post("/orders/sound", {}, "atlas")
+                for caller in callers:
+                    caller.join(30)
+                self.assertEqual((status, content), (200, b"ok"))
+                self.assertEqual(len(outcomes), CONCURRENT_REQUESTS)
+                f.wait_until(lambda: runner.open == 0, 5, "the router closes each endless response")
+                peak = self.peak_mb(router)
+                print(f"{fault}: peak of {peak:.0f} MB")
+                self.assertLess(peak, OWN_MEMORY_MB + CONCURRENT_REQUESTS * MAXIMUM_ANSWER_BYTES / 1e6)
+
+    def peak_mb(self, router):
+        with open(f"/proc/{router.process.pid}/status", encoding="utf-8") as status:
+            line = next(line for line in status if line.startswith("VmHWM"))
+        return int(line.split()[1]) * 1024 / 1e6
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
