Soak: Crowds that connect to routers with few descriptors

The soak did not reach the limit of connections. Crowds of 70 connections now meet routers with places for 45 callers, beside the faults, which are drawn as before.

--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -8,7 +8,8 @@
 reset connections; a store that refuses or does not respond; routers that are shut down, paused, killed
 and restarted or whose settings file changes; runners that drain, say that they leave, ask for rest, crash,
 interrupt streams, hang or respond with errors; a part of prompts that crashes runners; keys that are
-revoked. From what callers and runners observe it checks:
+revoked. Meanwhile crowds connect to single routers, which have descriptors for a part of them only: they send
+nothing, half a request, or a whole one, and stay connected. From what callers and runners observe it checks:
 
   - a booking runs at most once, and does not run if the caller got a 429 or 503
   - a success is the runner's complete response to this request; a stream has each event once, in order
@@ -25,6 +26,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import threading
 import time
@@ -36,6 +38,9 @@
 
 ROUTERS = 3
 CALLERS = 8
+# Descriptors of a router, which leave places for 45 callers, and connections of a crowd.
+DESCRIPTORS = 300
+CROWD = 70
 EVENTS = 8
 # `grace-s` of the settings (8 s) plus time for the system to end the process, in seconds.
 STOP_LIMIT = 8.5
@@ -127,10 +132,32 @@
                 self.proxies.append(proxy)
         self.store_proxies = [Proxy(self.platform.store_port) for _ in range(ROUTERS)]
         self.routers = [
-            Router(path.port, f"127.{seed % 250 + 1}.0.{number + 1}")
+            Router(path.port, f"127.{seed % 250 + 1}.0.{number + 1}", descriptors=DESCRIPTORS)
             for number, path in enumerate(self.store_proxies)
         ]
 
+    def send_crowds(self, end):
+        """Opens crowds of connections to routers drawn at random, until `end`; draws apart from the faults."""
+        draws = random.Random(f"crowds {self.seed}")
+        while time.monotonic() < end:
+            time.sleep(draws.uniform(0.5, 2.5))
+            router = draws.choice(self.routers)
+            self.record_fault(f"a crowd connects to {router.ip}")
+            crowd = [self.connect_one_of_a_crowd(router, number) for number in range(CROWD)]
+            time.sleep(draws.uniform(0.2, 2.0))
+            for connection in filter(None, crowd):
+                connection.close()
+
+    def connect_one_of_a_crowd(self, router, number):
+        lines = [f"{name}: {value}" for name, value in caller_headers(f"crowd-{number}", KEY).items()]
+        head = "\r\n".join(["GET /l/1 HTTP/1.1", *lines, "", ""]).encode()
+        try:
+            connection = socket.create_connection((router.ip, router.caller_port), timeout=0.2)
+            connection.sendall((b"", head[:20], head)[number % 3])
+            return connection
+        except OSError:
+            return None
+
     def check(self, condition, message):
         if not condition:
             self.violations.append(message)
@@ -283,6 +310,8 @@
         for caller in callers:
             caller.start()
         end = time.monotonic() + self.seconds
+        crowds = threading.Thread(target=self.send_crowds, args=[end], daemon=True)
+        crowds.start()
         undo = []
         kinds = [
             self.disturb_store_proxy, self.disturb_runner, self.delay, self.fail_store, self.fail_runner,
@@ -306,6 +335,7 @@
                 entry[2]()
         for _, _, restore in undo:
             restore()
+        crowds.join()
         self.record_fault("faults over")
         self.crashing_part_is_sent = False
         self.check(all(until(router.is_ready, RECOVERY_LIMIT) for router in self.routers), "not ready again")
