Http: Let refused connections give way whose request was evicted

What callers would see: with a crowd that sends half requests and stays connected, each evicted connection kept one of the places for refusals for the whole second of draining, and further callers waited in the listen queue.

Cause: an evicted connection had no replacement rank, also after its refusal had been sent.

--- a/libraries/http/server_connection_limits.cc
+++ b/libraries/http/server_connection_limits.cc
@@ -56,9 +56,9 @@
 }
 
 std::optional<ReplacementRank> ServerConnection::replacement_rank(core::TimePoint now) const {
-  if (this->serving || this->writing || this->eviction || !this->stream->is_open()) {
-    return std::nullopt;
-  }
+  if (this->serving || this->writing || !this->stream->is_open()) return std::nullopt;
+  // The refusal of an evicted request is about to be sent.
+  if (this->eviction && !this->draining) return std::nullopt;
   ConnectionActivity activity{.served_a_request = this->served_a_request,
                               .since = this->stage_began_at,
                               .last_input = this->last_input_at};
--- a/tests/libraries/http/connection_limit_test.cc
+++ b/tests/libraries/http/connection_limit_test.cc
@@ -25,8 +25,10 @@
 
 class ConnectionLimitTest : public testing::Test {
  protected:
-  void Start(std::size_t maximum_connections, std::chrono::milliseconds service_time = {}) {
+  void Start(std::size_t maximum_connections, std::chrono::milliseconds service_time = {},
+             std::chrono::milliseconds replacement_grace = std::chrono::seconds(1)) {
     ServerOptions options;
+    options.limits.replacement_grace = replacement_grace;
     options.limits.maximum_connections = maximum_connections;
     this->server = HttpServer::Create(this->io, std::move(options),
                                       [this, service_time](ServerExchange& exchange) {
@@ -191,6 +193,26 @@
   });
 }
 
+// Guards against callers whose half sent requests were refused and who do not close: each of them
+// would keep its place for the whole time of draining.
+TEST_F(ConnectionLimitTest, ServesACallerBehindManyHalfSentRequests) {
+  constexpr int kHalfSent = 12;
+  this->Start(2, {}, std::chrono::milliseconds(10));
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    std::vector<std::unique_ptr<RawConnection>> crowd;
+    for (int i = 0; i < kHalfSent; ++i) {
+      crowd.push_back(this->ConnectNow());
+      asio::write(crowd.back()->socket, asio::buffer(kGet.substr(0, 20)));
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    const auto caller = this->ConnectNow();
+    SendNow(*caller);
+    const bool is_answered = co_await IsAnswered(*caller);
+    EXPECT_TRUE(is_answered);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(4));
+  });
+}
+
 // Guards against a stop that closes an idle connection whose next request has arrived.
 TEST_F(ConnectionLimitTest, ServesARequestThatArrivedBeforeTheStop) {
   this->Start(10);
