--- a/tests/libraries/http/tls_test.cc
+++ b/tests/libraries/http/tls_test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -114,5 +115,74 @@
   std::filesystem::remove_all(folder);
 }
 
+/// A client that keeps its connection open.
+class TlsClient {
+ public:
+  explicit TlsClient(const asio::any_io_executor& executor) : stream(executor, this->context) {}
+
+  asio::awaitable<void> Connect(std::string address) {
+    const auto endpoint = ParseEndpoint(address).value();
+    co_await this->stream.next_layer().async_connect(endpoint, kTuple);
+    co_await this->stream.async_handshake(asio::ssl::stream_base::client, kTuple);
+  }
+
+  void SendNow() {
+    const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(this->stream, asio::buffer(request));
+  }
+
+  /// Reads a response that ends with '|'; returns an empty text if the connection ends before.
+  asio::awaitable<std::string> Read() {
+    std::string response;
+    const auto [error, count] =
+        co_await asio::async_read_until(this->stream, asio::dynamic_buffer(response), '|', kTuple);
+    co_return error ? std::string() : response.substr(0, count);
+  }
+
+ private:
+  asio::ssl::context context{asio::ssl::context::tls_client};
+  asio::ssl::stream<asio::ip::tcp::socket> stream;
+};
+
+// Guards against closing a kept TLS connection for a newer one although its next request has
+// arrived.
+TEST(TlsTest, KeepsAnIdleConnectionWhoseNextRequestHasArrived) {
+  const std::string folder = testing::TempDir() + fmt::format("/tls_limit_test_{}", getpid());
+  std::filesystem::create_directories(folder);
+  WriteCertificate(folder, "limit");
+  ServerOptions options;
+  options.certificate_file = folder + "/certificate.pem";
+  options.key_file = folder + "/key.pem";
+  options.limits.maximum_connections = 2;
+  asio::io_context io{1};
+  const auto server = std::move(HttpServer::Create(io, options, [](ServerExchange& exchange) {
+                                  return [](ServerExchange& serving) -> asio::awaitable<void> {
+                                    HttpResponse response;
+                                    response.body = "done|";
+                                    std::ignore = co_await serving.Respond(std::move(response));
+                                  }(exchange);
+                                }).value());
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    const auto executor = co_await asio::this_coro::executor;
+    TlsClient longest_idle(executor);
+    TlsClient idle(executor);
+    for (auto* client : {&longest_idle, &idle}) {
+      co_await client->Connect(server->address());
+      client->SendNow();
+      const auto response = co_await client->Read();
+      EXPECT_NE(response, "");
+      co_await Pause(std::chrono::milliseconds(5));
+    }
+    asio::ip::tcp::socket late(executor);
+    late.connect(ParseEndpoint(server->address()).value());
+    longest_idle.SendNow();
+    const auto response = co_await longest_idle.Read();
+    EXPECT_NE(response, "");
+    const auto rest = co_await idle.Read();
+    EXPECT_EQ(rest, "");
+  });
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace pomelospar::http
