--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -65,7 +65,7 @@
     const bool is_beyond_limit =
         open >= this->server->limits.maximum_connections && !MakeRoom(*this->server);
     // A 503 response over TLS requires a handshake, and the limits are there to bound that cost.
-    if (is_beyond_limit && (this->tls || !MayRefuse(*this->server))) return;
+    if (is_beyond_limit && (this->tls || !MakeRoomForRefusal(*this->server))) return;
     const auto connection = std::make_shared<ServerConnection>(this->server, std::move(stream),
                                                                executor, remote_address);
     if (is_beyond_limit) {
@@ -87,7 +87,7 @@
   bool MayAccept(core::Duration paused) const {
     if (this->server->stopping) return true;
     // A connection that could not be refused would have to be closed without a response.
-    if (!MayRefuse(*this->server)) return false;
+    if (!MakeRoomForRefusal(*this->server)) return false;
     return !this->options.may_accept || this->options.may_accept(paused);
   }
 
@@ -97,7 +97,7 @@
     boost::system::error_code error;
     this->acceptor.non_blocking(true, error);
     for (std::size_t count = 0; !error && count < most; ++count) {
-      if (!this->server->stopping && !MayRefuse(*this->server)) break;
+      if (!this->server->stopping && !MakeRoomForRefusal(*this->server)) break;
       tcp::socket socket(this->acceptor.get_executor());
       this->acceptor.accept(socket, error);
       if (!error) this->Start(std::move(socket));
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -112,7 +112,7 @@
 
 ServerConnection::~ServerConnection() {
   this->HoldBytes(0);
-  this->CountAsClosed();
+  this->EndRefusal();
   this->server->connections.erase(this);
 }
 
@@ -169,7 +169,7 @@
 }
 
 asio::awaitable<void> ServerConnection::RefuseForLimit() {
-  this->CountAsRefused();
+  this->BeginRefusal();
   return this->Refuse(ConnectionLimitRefusal());
 }
 
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -41,13 +41,10 @@
   std::uint64_t refused_for_memory = 0;
 };
 
-/// Number of connections that may be refused concurrently because the limit of connections was
-/// reached. They are open in addition to that limit.
-std::size_t MaxRefusals(const ServerState& server);
-
-/// Returns true if one more connection may be refused. If necessary, closes one whose caller has
-/// received its refusal.
-bool MayRefuse(ServerState& server);
+/// Returns true if one more connection may be refused because the limit of connections is reached;
+/// the number of those that are open in addition to the limit is bounded. If necessary, closes one
+/// whose caller has received its refusal.
+bool MakeRoomForRefusal(ServerState& server);
 
 /// Makes room for a new connection: closes the connection with the lowest `ReplacementRank`, or
 /// refuses its request if a part of it has arrived. Returns false if none may be replaced.
@@ -79,7 +76,7 @@
   /// read yet.
   bool GiveWay();
   /// True if the connection is refused because of the limit of connections.
-  bool is_refused() const { return this->counted_as_refused; }
+  bool is_refused() const { return this->refused; }
   /// Memory that an unfinished request holds; 0 if none is being read.
   std::uint64_t unfinished_bytes() const;
 
@@ -132,8 +129,9 @@
   bool HoldBytes(std::uint64_t bytes);
   /// Ends the unfinished request with this response.
   void EvictRequest(Refusal refusal);
-  void CountAsRefused();
-  void CountAsClosed();
+  /// Count this connection as one that is refused because of the limit of connections.
+  void BeginRefusal();
+  void EndRefusal();
   /// Counts what a request with such a body holds. If the limit is exceeded, the largest unfinished
   /// requests are evicted; returns false if this is one of them.
   bool HoldRequest(std::uint64_t body_bytes);
@@ -162,7 +160,7 @@
   bool reading_request = false;
   /// Set if the unfinished request must end with a refusal.
   std::optional<Refusal> eviction;
-  bool counted_as_refused = false;
+  bool refused = false;
   bool draining = false;
   /// When the connection was accepted, its last request was served, the request in progress began
   /// or the draining began, whichever was last.
--- a/libraries/http/server_connection_limits.cc
+++ b/libraries/http/server_connection_limits.cc
@@ -21,6 +21,10 @@
 /// Connections that are asked to make room for one new connection.
 constexpr std::size_t kMaxCandidates = 8;
 
+std::size_t MaxRefusals(const ServerState& server) {
+  return std::min(kMaxConcurrentRefusals, server.limits.maximum_connections / 4 + 1);
+}
+
 }  // namespace
 
 bool ServerConnection::HoldBytes(std::uint64_t bytes) {
@@ -76,14 +80,14 @@
   if (this->stream->HasInput()) return false;
   if (this->reading_request) {
     if (this->server->refusing >= MaxRefusals(*this->server)) return false;
-    this->CountAsRefused();
+    this->BeginRefusal();
     this->EvictRequest(ConnectionLimitRefusal());
     return true;
   }
   if (!this->draining) ++this->server->replaced_connections;
   // The coroutine ends only in a later turn of the event loop.
   this->server->connections.erase(this);
-  this->CountAsClosed();
+  this->EndRefusal();
   this->Close();
   return true;
 }
@@ -92,8 +96,8 @@
   return {503, "too many connections; retry later"};
 }
 
-void ServerConnection::CountAsRefused() {
-  if (std::exchange(this->counted_as_refused, true)) return;
+void ServerConnection::BeginRefusal() {
+  if (std::exchange(this->refused, true)) return;
   ++this->server->refusing;
   ++this->server->refused_for_limit;
 }
@@ -102,15 +106,11 @@
   return this->reading_request && !this->eviction ? this->held_bytes : 0;
 }
 
-void ServerConnection::CountAsClosed() {
-  if (std::exchange(this->counted_as_refused, false)) --this->server->refusing;
-}
-
-std::size_t MaxRefusals(const ServerState& server) {
-  return std::min(kMaxConcurrentRefusals, server.limits.maximum_connections / 4 + 1);
+void ServerConnection::EndRefusal() {
+  if (std::exchange(this->refused, false)) --this->server->refusing;
 }
 
-bool MayRefuse(ServerState& server) {
+bool MakeRoomForRefusal(ServerState& server) {
   if (server.refusing < MaxRefusals(server)) return true;
   const auto now = std::chrono::steady_clock::now();
   const auto drained = std::find_if(
