Http: Closing a refused connection leaves no place for a new one

Cause: refused connections do not count as open, but MakeRoom closed one whose caller had received its refusal and admitted a new connection in return. Callers that stay connected after a refusal could thus raise the number of open connections beyond the limit, one in 100 ms.

Measured: ServesNoMoreConnectionsThanTheLimit, limit 8: 11 requests served at once before, 8 now.

--- a/libraries/http/server_connection_limits.cc
+++ b/libraries/http/server_connection_limits.cc
@@ -128,6 +128,8 @@
     ServerConnection* candidate = nullptr;
     std::optional<ReplacementRank> lowest;
     for (auto* connection : server.connections) {
+      // Refused ones do not count as open, so closing them leaves no place.
+      if (connection->is_refused()) continue;
       const auto rank = connection->replacement_rank(now);
       if (!rank || (lowest && !(*rank < *lowest))) continue;
       if (std::find(kept.begin(), kept.end(), connection) != kept.end()) continue;
--- a/tests/libraries/http/connection_limit_test.cc
+++ b/tests/libraries/http/connection_limit_test.cc
@@ -193,6 +193,28 @@
   });
 }
 
+// Guards against more connections than the limit: closing a refused one leaves no place, since
+// refused ones do not count.
+TEST_F(ConnectionLimitTest, ServesNoMoreConnectionsThanTheLimit) {
+  constexpr unsigned kLimit = 8;
+  constexpr unsigned kRefused = 6;
+  this->Start(kLimit, std::chrono::seconds(3));
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (unsigned i = 0; i < kLimit + kRefused; ++i) {
+      callers.push_back(this->ConnectNow());
+      SendNow(*callers.back());
+      // Refused callers have received their responses after this time.
+      co_await Pause(std::chrono::milliseconds(120));
+    }
+    EXPECT_EQ(this->handled, kLimit);
+    for (auto& caller : callers) {
+      const bool is_answered = co_await IsAnswered(*caller);
+      EXPECT_TRUE(is_answered);
+    }
+  });
+}
+
 // Guards against callers whose half sent requests were refused and who do not close: each of them
 // would keep its place for the whole time of draining.
 TEST_F(ConnectionLimitTest, ServesACallerBehindManyHalfSentRequests) {
