--- a/tests/libraries/http/connection_limit_test.cc
+++ b/tests/libraries/http/connection_limit_test.cc
@@ -68,6 +68,15 @@
     asio::write(connection.socket, asio::buffer(kGet));
   }
 
+  std::vector<std::unique_ptr<RawConnection>> ConnectAndSendNow(int count) {
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int i = 0; i < count; ++i) {
+      connections.push_back(this->ConnectNow());
+      SendNow(*connections.back());
+    }
+    return connections;
+  }
+
   static asio::awaitable<bool> IsServed(RawConnection& connection) {
     const auto response = co_await connection.ReadUntil("done|");
     co_return response.starts_with("HTTP/1.1 200 ");
@@ -154,11 +163,7 @@
   constexpr int kCallers = 40;
   this->Start(4, std::chrono::milliseconds(20));
   RunBody(this->io, [&]() -> asio::awaitable<void> {
-    std::vector<std::unique_ptr<RawConnection>> callers;
-    for (int i = 0; i < kCallers; ++i) {
-      callers.push_back(this->ConnectNow());
-      SendNow(*callers.back());
-    }
+    const auto callers = this->ConnectAndSendNow(kCallers);
     int answered = 0;
     for (auto& caller : callers) {
       if (co_await IsAnswered(*caller)) ++answered;
@@ -177,11 +182,7 @@
   constexpr int kCallers = 20;
   this->Start(2, std::chrono::milliseconds(50));
   RunBody(this->io, [&]() -> asio::awaitable<void> {
-    std::vector<std::unique_ptr<RawConnection>> callers;
-    for (int i = 0; i < kCallers; ++i) {
-      callers.push_back(this->ConnectNow());
-      SendNow(*callers.back());
-    }
+    const auto callers = this->ConnectAndSendNow(kCallers);
     int answered = 0;
     const auto begun = std::chrono::steady_clock::now();
     for (auto& caller : callers) {
--- a/tests/system/test_connection_reuse.py
+++ b/tests/system/test_connection_reuse.py
@@ -1,48 +1,33 @@
 """Connections of pomelospard to a runner that repeats its responses late."""
 
-import socket
-import threading
 import unittest
 
 import fleet as f
+from raw_runner import RawRunner
 
 REQUESTS = 12
 
-class RepeatingRunner:
+class RepeatingRunner(RawRunner):
     """Answers each request with its path. On a connection in use again it first repeats the response before."""
 
     def __init__(self, repeats, echoes):
         self.repeats, self.echoes = repeats, echoes
         self.connections = 0
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.previous = {}
+        super().__init__()
 
-    def accept(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=[connection], daemon=True).start()
-
-    def serve(self, connection):
-        previous = b""
-        with connection, connection.makefile("rb") as stream:
-            while request := stream.readline():
-                headers = {}
-                while (line := stream.readline().strip()):
-                    name, _, value = line.partition(b":")
-                    headers.setdefault(name.lower(), value.strip())
-                stream.read(int(headers.get(b"content-length", 0)))
-                if not previous:
-                    self.connections += 1
-                elif self.repeats:
-                    connection.sendall(previous)
-                path = request.split()[1]
-                echo = b"Pomelospar-Request-Id: %b\r\n" % headers[b"pomelospar-request-id"] if self.echoes else b""
-                previous = b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b" % (echo, len(path), path)
-                connection.sendall(previous)
+    def respond(self, connection, request):
+        previous = self.previous.get(connection, b"")
+        if not previous:
+            self.connections += 1
+        elif self.repeats:
+            connection.sendall(previous)
+        path, identifier = request["path"], request["headers"][b"pomelospar-request-id"]
+        echo = b"Pomelospar-Request-Id: %b\r\n" % identifier if self.echoes else b""
+        response = b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b" % (echo, len(path), path)
+        self.previous[connection] = response
+        connection.sendall(response)
+        return True
 
 class ConnectionReuseTest(unittest.TestCase):
     def play(self, repeats, echoes, headers=None):
--- a/tests/system/test_endless_runners.py
+++ b/tests/system/test_endless_runners.py
@@ -2,13 +2,13 @@
 
 import http.client
 import os
-import socket
 import sys
 import threading
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
 import fleet as f  # noqa: E402
+from raw_runner import RawRunner  # noqa: E402
 from table_platform import ENDLESS_RESPONSES  # noqa: E402
 
 CONCURRENT_REQUESTS = 40
@@ -17,51 +17,34 @@
 OWN_MEMORY_MB = 64
 
 
-class EndlessRunner:
-    """Sends the response without end that `fault` names, whatever it is asked; other paths get a short body."""
+class EndlessRunner(RawRunner):
+    """Sends the response without end that `fault` names, or a short body for the path of sound requests."""
 
     def __init__(self):
         self.fault = None
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.open = 0
         self.lock = threading.Lock()
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=[connection], daemon=True).start()
+        super().__init__()
 
     def count(self, change):
         with self.lock:
             self.open += change
 
-    def serve(self, connection):
-        with connection, connection.makefile("rb") as stream:
-            while request := stream.readline():
-                headers = {}
-                while line := stream.readline().strip():
-                    name, _, value = line.partition(b":")
-                    headers[name.lower()] = value.strip()
-                stream.read(int(headers.get(b"content-length", 0)))
-                if b"/sound" in request:
-                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-                    continue
-                start, repeated = ENDLESS_RESPONSES[self.fault]
-                identifier = headers[b"pomelospar-request-id"].decode()
-                self.count(1)
-                try:
-                    connection.sendall(start.replace("{known}", f"Pomelospar-Request-Id: {identifier}\r\n").encode())
-                    while True:
-                        connection.sendall(repeated.encode())
-                except OSError:
-                    return
-                finally:
-                    self.count(-1)
+    def respond(self, connection, request):
+        if b"/sound" in request["path"]:
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            return True
+        start, repeated = ENDLESS_RESPONSES[self.fault]
+        identifier = request["headers"][b"pomelospar-request-id"].decode()
+        self.count(1)
+        try:
+            connection.sendall(start.replace("{known}", f"Pomelospar-Request-Id: {identifier}\r\n").encode())
+            while True:
+                connection.sendall(repeated.encode())
+        except OSError:
+            return False
+        finally:
+            self.count(-1)
 
 
 class EndlessRunnersTest(unittest.TestCase):
