Http: Keep the stage of a server connection in one place

The connection now holds the activity itself, with a stage for the handshake or a refusal and one for a request that is served.

--- a/libraries/http/connection_replacement.cc
+++ b/libraries/http/connection_replacement.cc
@@ -16,6 +16,9 @@
       if (now - activity.since < grace) return std::nullopt;
       return ReplacementRank{now - last_progress < grace ? Kind::kSlow : Kind::kStalled,
                              activity.since};
+    case ConnectionStage::kBusy:
+    case ConnectionStage::kServing:
+      return std::nullopt;
     case ConnectionStage::kWaiting:
       break;
   }
--- a/libraries/http/connection_replacement.h
+++ b/libraries/http/connection_replacement.h
@@ -12,18 +12,21 @@
 /// A refused caller that sends nothing for this time has received the response.
 inline constexpr core::Duration kRefusalGrace = std::chrono::milliseconds(100);
 
-/// What a connection is doing while no request is served on it and nothing is written to it.
 enum class ConnectionStage {
+  /// The handshake or a refusal is in progress.
+  kBusy,
   /// Nothing of a request has been read.
   kWaiting,
   /// A part of a request has been read.
   kReading,
+  /// A request is served.
+  kServing,
   /// The last response has been sent; further input is discarded.
   kDraining,
 };
 
 struct ConnectionActivity {
-  ConnectionStage stage = ConnectionStage::kWaiting;
+  ConnectionStage stage = ConnectionStage::kBusy;
   bool served_a_request = false;
   /// When the stage began.
   core::TimePoint since{};
@@ -53,8 +56,8 @@
   }
 };
 
-/// Returns nothing for a connection that must not be replaced now: one that was accepted, or whose
-/// request began, less than `grace` ago.
+/// Returns nothing for a connection that must not be replaced now: one that is busy or serves a
+/// request, or that was accepted, or whose request began, less than `grace` ago.
 std::optional<ReplacementRank> RankForReplacement(core::TimePoint now, core::Duration grace,
                                                   const ConnectionActivity& activity);
 
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -104,9 +104,8 @@
       remote_address(std::move(remote)),
       deadline(io_executor, [this] { this->OnDeadline(); }),
       input_event(io_executor, core::TimePoint::max()),
-      read_block(kSmallestReadBlock),
-      stage_began_at(std::chrono::steady_clock::now()),
-      last_input_at(this->stage_began_at) {
+      read_block(kSmallestReadBlock) {
+  this->BeginStage(ConnectionStage::kBusy);
   this->server->connections.insert(this);
 }
 
@@ -124,11 +123,18 @@
   this->input_event.cancel();
 }
 
+void ServerConnection::BeginStage(ConnectionStage stage) {
+  this->activity.stage = stage;
+  this->activity.since = std::chrono::steady_clock::now();
+}
+
 void ServerConnection::Close() { this->stream->Close(); }
 
 void ServerConnection::StopWhenIdle() {
-  if (!this->waiting_for_request || !this->input.empty() || this->stream->HasInput()) return;
-  if (this->served_a_request) {
+  if (!this->is_in(ConnectionStage::kWaiting) || !this->input.empty() || this->stream->HasInput()) {
+    return;
+  }
+  if (this->activity.served_a_request) {
     this->stream->Close();
   } else {
     this->deadline.ExpireAfter(kStopGracePeriod);
@@ -148,17 +154,14 @@
   }
   while (this->stream->is_open()) {
     if (!co_await this->WaitForFirstByte()) break;
-    this->reading_request = true;
-    this->stage_began_at = std::chrono::steady_clock::now();
+    this->BeginStage(ConnectionStage::kReading);
     const auto outcome = co_await this->ReadRequest();
-    this->reading_request = false;
     if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
       co_await this->SendRefusal(*refusal);
       break;
     }
     if (std::holds_alternative<ConnectionEnd>(outcome) || !this->stream->is_open()) break;
     co_await this->Serve();
-    this->served_a_request = true;
     if (this->phase != Phase::kFinished) break;
     if (!this->keep_alive) {
       co_await this->DrainAndClose();
@@ -185,11 +188,11 @@
 }
 
 asio::awaitable<bool> ServerConnection::WaitForFirstByte() {
-  const bool grace = this->server->stopping && !this->served_a_request;
+  const bool grace = this->server->stopping && !this->activity.served_a_request;
   if (this->server->stopping && !grace && this->input.empty() && !this->stream->HasInput()) {
     co_return false;
   }
-  this->waiting_for_request = true;
+  this->BeginStage(ConnectionStage::kWaiting);
   this->deadline.ExpireAfter(grace ? kStopGracePeriod : this->server->limits.keep_alive_timeout);
   bool extended = false;
   while (this->input.empty()) {
@@ -199,7 +202,6 @@
     extended = true;
     this->deadline.ExpireAfter(kStopGracePeriod);
   }
-  this->waiting_for_request = false;
   co_return !this->input.empty();
 }
 
@@ -208,7 +210,7 @@
   const auto size = this->input.size();
   while (this->input.size() == size) {
     if (this->input_closed || this->deadline.expired() || !this->stream->is_open()) co_return false;
-    if (this->reading_request && this->eviction) co_return false;
+    if (this->is_in(ConnectionStage::kReading) && this->eviction) co_return false;
     this->StartReading();
     co_await this->input_event.async_wait(kTuple);
   }
@@ -230,13 +232,14 @@
       break;
     }
     this->input.append(this->read_block.data(), count);
-    this->last_input_at = std::chrono::steady_clock::now();
+    this->activity.last_input = std::chrono::steady_clock::now();
     this->input_event.cancel();
     // What arrives while a request is served waits, so a larger block would not help.
-    if (!this->serving && count == this->read_block.size() && count < kLargestReadBlock) {
+    if (!this->is_in(ConnectionStage::kServing) && count == this->read_block.size() &&
+        count < kLargestReadBlock) {
       this->read_block.resize(count * 4 > kLargestReadBlock ? kLargestReadBlock : count * 4);
     }
-  } while (this->serving && this->input.size() < kReadAheadLimit);
+  } while (this->is_in(ConnectionStage::kServing) && this->input.size() < kReadAheadLimit);
   this->reading = false;
   this->input_event.cancel();
   if (this->input_closed) this->NotifyDisconnect();
@@ -304,7 +307,7 @@
   this->phase = Phase::kNotStarted;
   this->body_expected = this->current_request.method != "HEAD";
   this->remaining_length.reset();
-  this->serving = true;
+  this->BeginStage(ConnectionStage::kServing);
   ++this->server->active_exchanges;
   this->StartReading();
   ServerExchange exchange(*this);
@@ -313,13 +316,13 @@
     auto response = NoResponseProduced();
     std::ignore = co_await this->Respond(std::move(response));
   }
-  this->serving = false;
+  this->BeginStage(ConnectionStage::kBusy);
+  this->activity.served_a_request = true;
   --this->server->active_exchanges;
   this->disconnect_handler = nullptr;
   this->current_request = HttpRequest();
   // The assignment above keeps the memory of the body.
   ReleaseBuffer(this->current_request.body);
-  this->stage_began_at = std::chrono::steady_clock::now();
   this->HoldBytes(0);
 }
 
@@ -332,6 +335,7 @@
 }
 
 asio::awaitable<void> ServerConnection::SendRefusal(Refusal refusal) {
+  this->BeginStage(ConnectionStage::kBusy);
   this->HoldBytes(0);
   this->ShrinkInput();
   this->phase = Phase::kNotStarted;
@@ -351,8 +355,7 @@
 
 asio::awaitable<void> ServerConnection::DrainAndClose() {
   co_await this->stream->ShutdownSend();
-  this->draining = true;
-  this->stage_began_at = std::chrono::steady_clock::now();
+  this->BeginStage(ConnectionStage::kDraining);
   this->deadline.ExpireAfter(kDrainTimeout);
   // g++ 12 miscompiles co_await in the condition of a do-while loop.
   while (true) {
@@ -488,7 +491,7 @@
 }
 
 void ServerConnection::NotifyDisconnect() {
-  if (!this->serving || !this->disconnect_handler) return;
+  if (!this->is_in(ConnectionStage::kServing) || !this->disconnect_handler) return;
   const auto handler = std::exchange(this->disconnect_handler, nullptr);
   handler();
 }
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -82,7 +82,7 @@
 
   const HttpRequest& request() const { return this->current_request; }
   const boost::asio::any_io_executor& io_executor() const { return this->executor; }
-  bool is_first_request() const { return !this->served_a_request; }
+  bool is_first_request() const { return !this->activity.served_a_request; }
   bool started() const { return this->phase != Phase::kNotStarted; }
   bool disconnected() const { return this->input_closed || !this->stream->is_open(); }
   bool has_write_timed_out() const { return this->write_timed_out; }
@@ -111,6 +111,8 @@
   struct RequestRead {};
   using ReadOutcome = std::variant<RequestRead, ConnectionEnd, Refusal>;
 
+  void BeginStage(ConnectionStage stage);
+  bool is_in(ConnectionStage stage) const { return this->activity.stage == stage; }
   boost::asio::awaitable<void> Refuse(Refusal refusal);
   boost::asio::awaitable<bool> WaitForFirstByte();
   boost::asio::awaitable<ReadOutcome> ReadRequest();
@@ -152,21 +154,13 @@
   std::vector<char> read_block;
   bool reading = false;
   bool input_closed = false;
-  bool served_a_request = false;
-  bool waiting_for_request = false;
+  ConnectionActivity activity;
 
   HttpRequest current_request;
   std::uint64_t held_bytes = 0;
-  bool reading_request = false;
   /// Set if the unfinished request must end with a refusal.
   std::optional<Refusal> eviction;
   bool refused = false;
-  bool draining = false;
-  /// When the connection was accepted, its last request was served, the request in progress began
-  /// or the draining began, whichever was last.
-  core::TimePoint stage_began_at;
-  core::TimePoint last_input_at;
-  bool serving = false;
   bool writing = false;
   bool write_timed_out = false;
   bool keep_alive = false;
--- a/libraries/http/server_connection_limits.cc
+++ b/libraries/http/server_connection_limits.cc
@@ -60,31 +60,23 @@
 }
 
 std::optional<ReplacementRank> ServerConnection::replacement_rank(core::TimePoint now) const {
-  if (this->serving || this->writing || !this->stream->is_open()) return std::nullopt;
+  if (this->writing || !this->stream->is_open()) return std::nullopt;
   // The refusal of an evicted request is about to be sent.
-  if (this->eviction && !this->draining) return std::nullopt;
-  ConnectionActivity activity{.served_a_request = this->served_a_request,
-                              .since = this->stage_began_at,
-                              .last_input = this->last_input_at};
-  if (this->draining) {
-    activity.stage = ConnectionStage::kDraining;
-  } else if (this->reading_request) {
-    activity.stage = ConnectionStage::kReading;
-  } else if (!this->waiting_for_request || !this->input.empty()) {
-    return std::nullopt;
-  }
-  return RankForReplacement(now, this->server->limits.replacement_grace, activity);
+  if (this->is_in(ConnectionStage::kReading) && this->eviction) return std::nullopt;
+  // A request has arrived and is about to be read.
+  if (this->is_in(ConnectionStage::kWaiting) && !this->input.empty()) return std::nullopt;
+  return RankForReplacement(now, this->server->limits.replacement_grace, this->activity);
 }
 
 bool ServerConnection::GiveWay() {
   if (this->stream->HasInput()) return false;
-  if (this->reading_request) {
+  if (this->is_in(ConnectionStage::kReading)) {
     if (this->server->refusing >= MaxRefusals(*this->server)) return false;
     this->BeginRefusal();
     this->EvictRequest(ConnectionLimitRefusal());
     return true;
   }
-  if (!this->draining) ++this->server->replaced_connections;
+  if (!this->is_in(ConnectionStage::kDraining)) ++this->server->replaced_connections;
   // The coroutine ends only in a later turn of the event loop.
   this->server->connections.erase(this);
   this->EndRefusal();
@@ -103,7 +95,7 @@
 }
 
 std::uint64_t ServerConnection::unfinished_bytes() const {
-  return this->reading_request && !this->eviction ? this->held_bytes : 0;
+  return this->is_in(ConnectionStage::kReading) && !this->eviction ? this->held_bytes : 0;
 }
 
 void ServerConnection::EndRefusal() {
--- a/tests/libraries/http/connection_replacement_test.cc
+++ b/tests/libraries/http/connection_replacement_test.cc
@@ -29,6 +29,9 @@
   EXPECT_FALSE(Rank(Stage::kDraining, false, 99, 99));
   EXPECT_FALSE(Rank(Stage::kDraining, false, 5000, 50));
   EXPECT_TRUE(Rank(Stage::kWaiting, true, 0, 0));
+  for (const auto stage : {Stage::kBusy, Stage::kServing}) {
+    EXPECT_FALSE(Rank(stage, true, 9000, 9000));
+  }
 }
 
 // Guards against a crowd that sends nothing, or stops in the middle, and takes the places of
