--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -32,7 +32,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "system"))
-from platform_router import KEY, REVOCATION_LIMIT, Router, caller_headers, until  # noqa: E402
+from platform_router import KEY, REVOCATION_LIMIT, Router, caller_headers, request_head, until  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from table_platform import Platform  # noqa: E402
 
@@ -149,8 +149,7 @@
                 connection.close()
 
     def connect_one_of_a_crowd(self, router, number):
-        lines = [f"{name}: {value}" for name, value in caller_headers(f"crowd-{number}", KEY).items()]
-        head = "\r\n".join(["GET /l/1 HTTP/1.1", *lines, "", ""]).encode()
+        head = request_head(f"crowd-{number}", "GET", "/l/1")
         try:
             connection = socket.create_connection((router.ip, router.caller_port), timeout=0.2)
             connection.sendall((b"", head[:20], head)[number % 3])
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -65,6 +65,13 @@
     return "\n".join(lines)
 
 
+def peak_memory(pid):
+    """Returns the largest resident memory of a process so far, in bytes."""
+    with open(f"/proc/{pid}/status", encoding="utf-8") as status:
+        line = next(line for line in status if line.startswith("VmHWM"))
+    return int(line.split()[1]) * 1024
+
+
 class Process:
     """A child process whose standard error goes to a file."""
 
--- a/tests/system/platform_router.py
+++ b/tests/system/platform_router.py
@@ -9,7 +9,7 @@
 import unittest
 import urllib.request
 
-from fleet import BINARIES, free_port
+from fleet import BINARIES, free_port, peak_memory
 from table_platform import Platform
 
 KEY = "key-1"
@@ -60,6 +60,12 @@
     return headers | ({"Authorization": f"Token {key}"} if key else {})
 
 
+def request_head(attempt, method, path, fields=()):
+    """Returns the bytes of a request up to its body, for tests that write to sockets themselves."""
+    lines = [f"{name}: {value}" for name, value in caller_headers(attempt, KEY).items()]
+    return "\r\n".join([f"{method} {path} HTTP/1.1", *lines, *fields, "", ""]).encode()
+
+
 class Router:
     """One router process and its log. Each router of a fleet needs an IP address of its own."""
 
@@ -128,9 +134,7 @@
 
     def peak_memory(self):
         """Returns the largest resident memory of the process so far, in bytes."""
-        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
-            line = next(line for line in file if line.startswith("VmHWM"))
-        return int(line.split()[1]) * 1024
+        return peak_memory(self.process.pid)
 
     def open_descriptors(self):
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
--- a/tests/system/test_client_crowds.py
+++ b/tests/system/test_client_crowds.py
@@ -12,7 +12,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import KEY, METRICS_PORT, Router, caller_headers, until  # noqa: E402
+from platform_router import KEY, METRICS_PORT, Router, request_head, until  # noqa: E402
 from table_platform import Platform  # noqa: E402
 
 CLIENTS = 60
@@ -54,8 +54,7 @@
 
 
 def head(path, framing, method="POST", extra=()):
-    lines = [f"{name}: {value}" for name, value in caller_headers("crowd", KEY).items()]
-    return "\r\n".join([f"{method} {path} HTTP/1.1", *lines, *framing, *extra, "", ""]).encode()
+    return request_head("crowd", method, path, [*framing, *extra])
 
 
 def body_in_one_piece(path):
--- a/tests/system/test_connection_flood.py
+++ b/tests/system/test_connection_flood.py
@@ -10,7 +10,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import KEY, RouterTestCase, caller_headers, until  # noqa: E402
+from platform_router import RouterTestCase, request_head, until  # noqa: E402
 
 CONNECTIONS = 800
 CONNECTIONS_PER_SECOND = 400
@@ -70,11 +70,9 @@
             return None
 
     async def status_of(self, number):
-        headers = caller_headers(f"attempt-{number}", KEY) | {"Content-Length": "0"}
-        lines = [f"{name}: {value}" for name, value in headers.items()]
         reader, writer = await asyncio.open_connection(self.router.ip, self.router.caller_port)
         try:
-            writer.write("\r\n".join(["POST /s/1 HTTP/1.1", *lines, "", ""]).encode())
+            writer.write(request_head(f"attempt-{number}", "POST", "/s/1", ["Content-Length: 0"]))
             head = await reader.readline()
             return int(head.split()[1])
         finally:
@@ -125,9 +123,8 @@
         reader, writer = await asyncio.open_connection(self.router.ip, self.router.caller_port)
         kept.append(writer)
         await asyncio.sleep(pause)
-        lines = [f"{name}: {value}" for name, value in caller_headers(attempt, KEY).items()]
         try:
-            writer.write("\r\n".join(["GET /l/1 HTTP/1.1", *lines, "", ""]).encode())
+            writer.write(request_head(attempt, "GET", "/l/1"))
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), DEADLINE_SECONDS)
             return int(head.split()[1])
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
--- a/tests/system/test_endless_responses.py
+++ b/tests/system/test_endless_responses.py
@@ -8,7 +8,8 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import KEY, RouterTestCase, caller_headers, until  # noqa: E402
+from fleet import peak_memory  # noqa: E402
+from platform_router import RouterTestCase, request_head, until  # noqa: E402
 from table_platform import ENDLESS_RESPONSES, SLOW_RESPONSES  # noqa: E402
 
 # The smallest memory of an instance in the users' deployment sheets.
@@ -23,9 +24,7 @@
 
 def resident_mb(process):
     """Returns the peak resident memory of the process in MB."""
-    with open(f"/proc/{process.pid}/status", encoding="utf-8") as status:
-        line = next(line for line in status if line.startswith("VmHWM"))
-    return int(line.split()[1]) * 1024 / 1e6
+    return peak_memory(process.pid) / 1e6
 
 
 class EndlessResponsesTest(RouterTestCase):
@@ -119,9 +118,7 @@
             reader = socket.create_connection((self.router.ip, self.router.caller_port), timeout=5)
             # The router has to hold what the buffers of the system do not take.
             reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            headers = caller_headers(f"reader-{number}", KEY) | {"Content-Length": "0"}
-            lines = [f"{name}: {value}" for name, value in headers.items()]
-            reader.sendall("\r\n".join(["POST /s/1 HTTP/1.1", *lines, "", ""]).encode())
+            reader.sendall(request_head(f"reader-{number}", "POST", "/s/1", ["Content-Length: 0"]))
             readers.append(reader)
         time.sleep(3)
         self.assertLess(resident_mb(self.router.process), MEMORY_LIMIT_MB)
--- a/tests/system/test_endless_runners.py
+++ b/tests/system/test_endless_runners.py
@@ -80,15 +80,10 @@
                 self.assertEqual((status, content), (200, b"ok"))
                 self.assertEqual(len(outcomes), CONCURRENT_REQUESTS)
                 f.wait_until(lambda: runner.open == 0, 5, "the router closes each endless response")
-                peak = self.peak_mb(router)
+                peak = f.peak_memory(router.process.pid) / 1e6
                 print(f"{fault}: peak of {peak:.0f} MB")
                 self.assertLess(peak, OWN_MEMORY_MB + CONCURRENT_REQUESTS * MAXIMUM_ANSWER_BYTES / 1e6)
 
-    def peak_mb(self, router):
-        with open(f"/proc/{router.process.pid}/status", encoding="utf-8") as status:
-            line = next(line for line in status if line.startswith("VmHWM"))
-        return int(line.split()[1]) * 1024 / 1e6
-
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
