Dispatch, Edge: Shed the requests of workspaces that send the most

Callers of a small workspace were refused because another one flooded their router: an overloaded router refused an even part of all requests, so that a workspace with 25 requests a second beside one with 1,000 lost nine of ten.

The requests to refuse are now those above the max-min fair level of what the router can serve, by workspace, counted over the last second. Refusals stay as many as before. The key of a request is looked up before it is shed, which the refusal of a request did not need.

Lines workspace_share and the metric pomelospar_shed_requests_total say how many were shed, which no line said.

--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -90,7 +90,10 @@
       tick_timer(this->io),
       refused_connections(this->state.metrics.FindCounter(
           "pomelospar_refused_connections_total",
-          "Connections refused because this router had no processor time for another one.", {})) {}
+          "Connections refused because this router had no processor time for another one.", {})),
+      shed_requests(this->state.metrics.FindCounter(
+          "pomelospar_shed_requests_total",
+          "Requests refused unexamined because this router had no processor time for them.", {})) {}
 
 core::Result<std::unique_ptr<Edge>> Edge::Create(std::string settings_path,
                                                  std::string settings_document,
@@ -285,7 +288,8 @@
                      {"served_elsewhere", others.served},
                      {"use", ShareUse(this->state, name, 0.0)},
                      {"refused_first", window.refused_first},
-                     {"refused_returning", window.refused_returning}});
+                     {"refused_returning", window.refused_returning},
+                     {"shed", window.shed}});
   }
 }
 
@@ -326,7 +330,8 @@
 }
 
 bool Edge::MayAccept(core::Duration paused) const {
-  return this->state.stop || this->state.processor.MayAccept(this->TickOverdue(), paused);
+  if (this->state.stop) return true;
+  return this->state.processor.MayAccept(this->TickOverdue(), paused);
 }
 
 bool Edge::MayServe() {
@@ -337,17 +342,23 @@
   return false;
 }
 
-// Spreads the refusals evenly over the requests instead of drawing them at random.
-bool Edge::MustShedNext() {
-  this->shed_accumulator += this->state.processor.ShedFraction(this->TickOverdue());
-  if (this->shed_accumulator < 1.0) return false;
-  this->shed_accumulator -= 1.0;
+bool Edge::MustShed(const http::HttpRequest& request) {
+  const auto key = adapter::ApiKeyOf(request);
+  const auto* holder =
+      key && this->state.policy ? dispatch::FindWorkspace(*this->state.policy, *key) : nullptr;
+  const auto name = holder != nullptr ? std::string_view(holder->name) : std::string_view();
+  const double fraction = this->state.processor.ShedFraction(this->TickOverdue());
+  if (!this->shedding.MustShed(this->state.clock.now(), core::HashName(name), fraction)) {
+    return false;
+  }
+  this->shed_requests.Add();
+  if (holder != nullptr) ++WindowOf(this->state, holder->name).shed;
   return true;
 }
 
 asio::awaitable<void> Edge::Serve(http::ServerExchange& exchange) {
   if (exchange.is_first_request()) this->backlog.OnFirstRequest(this->state.clock.now());
-  if (this->MustShedNext()) {
+  if (this->MustShed(exchange.request())) {
     // Copied, because the request is no longer valid after the response.
     const std::string attempt_id(adapter::AttemptIdOf(exchange.request()));
     http::HttpResponse response;
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -13,6 +13,7 @@
 #include "libraries/core/buffered_log.h"
 #include "libraries/core/result.h"
 #include "libraries/dispatch/connection_backlog.h"
+#include "libraries/dispatch/load_shedding.h"
 #include "libraries/http/http_server.h"
 #include "libraries/http/upstream_pool.h"
 #include "platform/settings.h"
@@ -59,8 +60,8 @@
   /// Returns false if a connection that was just accepted is refused, because its request would
   /// wait for processor time.
   bool MayServe();
-  /// Returns true if the next request is to be refused because the process is overloaded.
-  bool MustShedNext();
+  /// Returns true if the request is to be refused because the process is overloaded.
+  bool MustShed(const http::HttpRequest& request);
   boost::asio::awaitable<void> Serve(http::ServerExchange& exchange);
   boost::asio::awaitable<void> AnswerReadiness(http::ServerExchange& exchange);
   /// Answers with the metrics, or with an explanation for the path /explain.
@@ -94,10 +95,10 @@
   boost::circular_buffer<core::TimePoint> explained_at{10};
   /// Readiness at the latest tick, so that only changes are logged.
   bool was_ready = false;
-  /// Sum of the shares of requests to refuse, less one for each refused request.
-  double shed_accumulator = 0.0;
+  dispatch::LoadShedding shedding;
   dispatch::ConnectionBacklog backlog;
   metrics::Counter refused_connections;
+  metrics::Counter shed_requests;
 };
 
 }  // namespace pomelospar::edge
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -83,6 +83,8 @@
   /// Refused requests since the start, those of callers that came back after a refusal apart.
   std::uint64_t refused_first = 0;
   std::uint64_t refused_returning = 0;
+  /// Requests that were refused unexamined because this router had no processor time for them.
+  std::uint64_t shed = 0;
 };
 
 /// A request that was in progress on a runner whose connection broke.
