Dispatch, Http, Edge: Limit new connections of a router to what it can serve

Callers waited unread until they gave up at a router that one of them flooded, and so did the callers beside it, while the other routers were idle.

Cause: a late router stopped accepting for at most 250 ms and then accepted up to 128 connections, however long its turns were. Each of them took processor time and most came too late, so the router did ever less in time, and what it had not accepted was neither served nor refused.

EntryRate limits new connections once turns of the event loop have been long for 250 ms. The rate falls while turns are long and rises while they are not, so it needs neither the cost of a request nor the share of a core. Beyond it the queued connections get 503 and the listener is closed until there is room: further callers are refused by their connect, at no cost to the router and before they have sent anything, and their retry reaches another router.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -55,7 +55,10 @@
 struct HttpServer::State {
   explicit State(asio::io_context& io) : acceptor(io) {}
 
-  void Start(tcp::socket socket) {
+  /// Whether a connection within the limits is served or refused.
+  enum class Verdict { kServe, kRefuse };
+
+  void Start(tcp::socket socket, Verdict verdict) {
     const auto remote_address = RemoteAddress(socket);
     const auto executor = socket.get_executor();
     auto stream = this->tls ? std::make_unique<ByteStream>(std::move(socket), *this->tls)
@@ -70,7 +73,7 @@
                                                                executor, remote_address);
     if (is_beyond_limit) {
       Spawn(connection, connection->RefuseForLimit());
-    } else if (this->options.may_serve && !this->tls && !this->options.may_serve()) {
+    } else if (!this->tls && (verdict == Verdict::kRefuse || !this->MayServe())) {
       Spawn(connection, connection->RefuseForLoad());
     } else {
       Spawn(connection, connection->Run());
@@ -84,6 +87,8 @@
                    [connection](const std::exception_ptr&) {});
   }
 
+  bool MayServe() const { return !this->options.may_serve || this->options.may_serve(); }
+
   bool MayAccept(core::Duration paused) const {
     if (this->server->stopping) return true;
     // A connection that could not be refused would have to be closed without a response.
@@ -91,16 +96,53 @@
     return !this->options.may_accept || this->options.may_accept(paused);
   }
 
+  bool MustRefuse() const {
+    return !this->server->stopping && this->options.must_refuse && this->options.must_refuse();
+  }
+
   /// Accepts up to `most` connections that are already queued. If each iteration of the event loop
   /// accepted only one, new callers would time out under load.
-  void AcceptQueued(std::size_t most) {
+  void AcceptQueued(std::size_t most, Verdict verdict = Verdict::kServe) {
     boost::system::error_code error;
     this->acceptor.non_blocking(true, error);
     for (std::size_t count = 0; !error && count < most; ++count) {
+      if (verdict == Verdict::kServe && this->MustRefuse()) break;
       if (!this->server->stopping && !MakeRoomForRefusal(*this->server)) break;
       tcp::socket socket(this->acceptor.get_executor());
       this->acceptor.accept(socket, error);
-      if (!error) this->Start(std::move(socket));
+      if (!error) this->Start(std::move(socket), verdict);
+    }
+  }
+
+  /// Refuses the connections that are already queued and stops listening. Closing the socket alone
+  /// would reset them, although their callers may have sent requests.
+  void StopListening() {
+    this->AcceptQueued(std::numeric_limits<std::size_t>::max(), Verdict::kRefuse);
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    ++this->listening_pauses;
+  }
+
+  /// Returns when connections may be accepted again, or when the server stops.
+  asio::awaitable<void> AwaitAccepting() {
+    asio::steady_timer poll(this->acceptor.get_executor());
+    const auto paused_at = std::chrono::steady_clock::now();
+    while (this->MustRefuse() || !this->MayAccept(std::chrono::steady_clock::now() - paused_at)) {
+      if (this->acceptor.is_open() && this->MustRefuse()) this->StopListening();
+      poll.expires_after(kMayAcceptPollInterval);
+      co_await poll.async_wait(kTuple);
+    }
+  }
+
+  /// Listens again after `StopListening`, unless the server has stopped meanwhile.
+  asio::awaitable<void> ResumeListening() {
+    asio::steady_timer pause(this->acceptor.get_executor());
+    while (!this->acceptor.is_open() && !this->server->stopping) {
+      if (Listen(this->acceptor, this->endpoint)) co_return;
+      boost::system::error_code ignored;
+      this->acceptor.close(ignored);
+      pause.expires_after(kAcceptRetryDelay);
+      co_await pause.async_wait(kTuple);
     }
   }
 
@@ -108,16 +150,16 @@
   std::shared_ptr<ServerState> server = std::make_shared<ServerState>();
   std::shared_ptr<TlsContext> tls;
   tcp::acceptor acceptor;
-  std::string address;
+  /// Address with the actual port.
+  tcp::endpoint endpoint;
+  std::uint64_t listening_pauses = 0;
 
   static asio::awaitable<void> AcceptLoop(std::shared_ptr<State> state) {
     asio::steady_timer pause(state->acceptor.get_executor());
     while (state->acceptor.is_open()) {
-      const auto paused_at = std::chrono::steady_clock::now();
-      while (!state->MayAccept(std::chrono::steady_clock::now() - paused_at)) {
-        pause.expires_after(kMayAcceptPollInterval);
-        co_await pause.async_wait(kTuple);
-      }
+      co_await state->AwaitAccepting();
+      co_await state->ResumeListening();
+      if (!state->acceptor.is_open()) break;
       auto [error, socket] = co_await state->acceptor.async_accept(kTuple);
       if (!state->acceptor.is_open()) break;
       if (error) {
@@ -125,7 +167,7 @@
         co_await pause.async_wait(kTuple);
         continue;
       }
-      state->Start(std::move(socket));
+      state->Start(std::move(socket), Verdict::kServe);
       state->AcceptQueued(kMaxAcceptsPerTurn);
     }
   }
@@ -157,7 +199,7 @@
   }
   BOOST_OUTCOME_TRY(Listen(state->acceptor, endpoint));
   boost::system::error_code error;
-  state->address = FormatEndpoint(state->acceptor.local_endpoint(error));
+  state->endpoint = state->acceptor.local_endpoint(error);
   state->server->limits = options.limits;
   state->server->handler = std::move(handler);
   state->server->drop_bodies = options.drop_bodies;
@@ -166,7 +208,7 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
-std::string HttpServer::address() const { return this->state->address; }
+std::string HttpServer::address() const { return FormatEndpoint(this->state->endpoint); }
 
 void HttpServer::CloseAfterResponses() { this->state->server->close_after_responses = true; }
 
@@ -192,6 +234,8 @@
   return this->state->server->refused_for_limit;
 }
 
+std::uint64_t HttpServer::listening_pauses() const { return this->state->listening_pauses; }
+
 std::uint64_t HttpServer::replaced_connections() const {
   return this->state->server->replaced_connections;
 }
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -45,6 +45,8 @@
   std::uint64_t refused_for_memory() const;
   /// Connections refused since the start because of the limit of connections.
   std::uint64_t refused_for_limit() const;
+  /// How often the server has stopped listening because `ServerOptions::must_refuse` returned true.
+  std::uint64_t listening_pauses() const;
   /// Idle connections closed since the start because others needed their place.
   std::uint64_t replaced_connections() const;
   /// Reloads the certificate and key files for connections accepted from now on. On an error the
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
 #include <csignal>
@@ -116,6 +117,7 @@
           this->io,
           {.address = settings.caller_address,
            .may_accept = [this](core::Duration paused) { return this->MayAccept(paused); },
+           .must_refuse = [this] { return !this->state.stop && !this->entry_rate.MayAccept(); },
            .may_serve = [this] { return this->MayServe(); }},
           [this](http::ServerExchange& exchange) { return this->Serve(exchange); }));
   BOOST_OUTCOME_TRY(
@@ -199,6 +201,11 @@
     if (error) return;
     const auto now = this->state.clock.now();
     this->state.processor.OnTimer(now, now - this->tick_timer.expiry());
+    // Runs after all handlers that are ready now.
+    asio::post(this->io, [this, now] {
+      const auto turned_at = this->state.clock.now();
+      this->entry_rate.OnTurn(turned_at, turned_at - now);
+    });
     this->Tick();
     this->ScheduleTick();
   });
@@ -258,6 +265,8 @@
                    {"refused_for_memory", this->caller_server->refused_for_memory()},
                    {"replaced_connections", this->caller_server->replaced_connections()},
                    {"refused_for_limit", this->caller_server->refused_for_limit()},
+                   {"listening_pauses", this->caller_server->listening_pauses()},
+                   {"entry_limit", this->entry_rate.limit().value_or(-1.0)},
                    {"policy_age_ms", age}});
   const auto set = [this](std::string_view name, std::string_view help, std::uint64_t value) {
     this->state.metrics.FindGauge(name, help, {}).Set(static_cast<double>(value));
@@ -271,6 +280,9 @@
   set("pomelospar_connections_refused_for_limit",
       "Connections refused since the start because too many were open.",
       this->caller_server->refused_for_limit());
+  set("pomelospar_listening_pauses",
+      "How often the router has stopped listening since the start because it was late.",
+      this->caller_server->listening_pauses());
   this->LogShares();
 }
 
@@ -330,12 +342,13 @@
 }
 
 bool Edge::MayAccept(core::Duration paused) const {
-  if (this->state.stop) return true;
+  if (this->state.stop || this->entry_rate.is_limited()) return true;
   return this->state.processor.MayAccept(this->TickOverdue(), paused);
 }
 
 bool Edge::MayServe() {
   if (this->state.stop) return true;
+  this->entry_rate.OnAccepted();
   const auto now = this->state.clock.now();
   if (this->backlog.TryAdd(now, dispatch::BeyondQuotaPause(this->TickOverdue()))) return true;
   this->refused_connections.Add();
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -13,6 +13,7 @@
 #include "libraries/core/buffered_log.h"
 #include "libraries/core/result.h"
 #include "libraries/dispatch/connection_backlog.h"
+#include "libraries/dispatch/entry_rate.h"
 #include "libraries/dispatch/load_shedding.h"
 #include "libraries/http/http_server.h"
 #include "libraries/http/upstream_pool.h"
@@ -96,6 +97,7 @@
   /// Readiness at the latest tick, so that only changes are logged.
   bool was_ready = false;
   dispatch::LoadShedding shedding;
+  dispatch::EntryRate entry_rate;
   dispatch::ConnectionBacklog backlog;
   metrics::Counter refused_connections;
   metrics::Counter shed_requests;
--- a/tests/libraries/http/server_test.cc
+++ b/tests/libraries/http/server_test.cc
@@ -2,6 +2,7 @@
 #include <gmock/gmock.h>
 #include <rapidcheck.h>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -35,6 +36,13 @@
 
 class ServerTest : public testing::Test {
  protected:
+  asio::awaitable<boost::system::error_code> TryConnect() {
+    asio::ip::tcp::socket socket(this->io);
+    const auto endpoint = ParseEndpoint(this->server->address()).value();
+    const auto [error] =
+        co_await socket.async_connect(endpoint, asio::as_tuple(asio::use_awaitable));
+    co_return error;
+  }
   void Start(ServerOptions options, Handler handler) {
     this->server = HttpServer::Create(this->io, std::move(options), std::move(handler)).value();
   }
@@ -385,6 +393,45 @@
   });
 }
 
+// Callers of an overloaded server must not wait until their deadlines. Those that are queued get a
+// response, further ones cannot connect, and both is over once the server may accept again.
+TEST_F(ServerTest, RefusesConnectionsWhileItMustRefuse) {
+  bool may_accept = false;
+  bool must_refuse = false;
+  auto options = QuickOptions();
+  options.may_accept = [&](core::Duration) { return may_accept; };
+  options.must_refuse = [&] { return must_refuse; };
+  this->Start(std::move(options), this->Echo());
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    const auto queued = co_await RawConnection::Connect(this->server->address());
+    co_await queued->Send(std::string(kGet));
+    must_refuse = true;
+    EXPECT_THAT(co_await queued->ReadAll(), HasSubstr("503"));
+    EXPECT_EQ(co_await this->TryConnect(), asio::error::connection_refused);
+    EXPECT_EQ(this->server->listening_pauses(), 1U);
+    may_accept = true;
+    must_refuse = false;
+    co_await Pause(std::chrono::milliseconds(100));
+    const auto connection = co_await RawConnection::Connect(this->server->address());
+    co_await connection->Send(std::string(kGet));
+    EXPECT_THAT(co_await connection->ReadUntil("/x|"), HasSubstr("200 OK"));
+    EXPECT_EQ(this->handled, 1U);
+  });
+}
+
+// A server that does not listen because it is overloaded must stop like any other.
+TEST_F(ServerTest, StopsWhileItDoesNotListen) {
+  auto options = QuickOptions();
+  options.must_refuse = [] { return true; };
+  this->Start(std::move(options), this->Echo());
+  RunBody(this->io, [&]() -> asio::awaitable<void> {
+    co_await Pause(std::chrono::milliseconds(50));
+    this->server->StopAccepting();
+    co_await Pause(std::chrono::milliseconds(100));
+    EXPECT_EQ(co_await this->TryConnect(), asio::error::connection_refused);
+  });
+}
+
 // A caller opens many connections while an iteration of the event loop is long. All of them must be
 // accepted in the next one: a full listen queue drops further connections, which are tried again
 // after seconds only.
