Http: Reject responses whose status HTTP does not define

A caller got a runner's status 600 or 999 as the answer to its request (000, 099, 20, 2000 and -20 were rejected before). The parser takes any three digits as a status, and only those below 100 were refused. A status beyond 599 now counts as an invalid response: 502, or another attempt if the request may be repeated.

UpstreamConnectionTest.RejectsStatusesOutsideOfHttp failed for 600 and 999 before and passes for all eight now.

--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -38,6 +38,9 @@
 /// Maximum number of buffered bytes of an incomplete header, chunk header or trailer.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kLargestReadBlock;
 constexpr unsigned kMaxInterimResponses = 8;
+/// The parser takes any number of three digits as a status.
+constexpr unsigned kLowestStatus = 100;
+constexpr unsigned kHighestStatus = 599;
 /// A body of up to this many bytes is copied behind the head and written with it in one call.
 constexpr std::size_t kMaxJoinedBodyBytes = 16U << 10U;
 
@@ -243,7 +246,8 @@
     BOOST_OUTCOME_CO_TRY(const bool progress, self.Parse());
     if (self.parser->is_header_done()) {
       const auto status = self.parser->get().result_int();
-      if (status < 100 || (status < 200 && ++interim > kMaxInterimResponses)) {
+      if (status < kLowestStatus || status > kHighestStatus ||
+          (status < 200 && ++interim > kMaxInterimResponses)) {
         co_return self.Fail(Malformed(self.address, "its status is not valid here"));
       }
       if (status >= 200 || status == 101) break;
--- a/tests/libraries/http/upstream_test.cc
+++ b/tests/libraries/http/upstream_test.cc
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gmock/gmock.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -112,6 +113,27 @@
   });
 }
 
+// Guards against a status outside of HTTP that reaches a caller as the response to its request.
+TEST(UpstreamConnectionTest, RejectsStatusesOutsideOfHttp) {
+  std::vector<ScriptedUpstream::Script> scripts;
+  for (const auto* status : {"000", "099", "600", "999", "20", "2000", "-20", "2 0"}) {
+    scripts.push_back(
+        {fmt::format("HTTP/1.1 {} X\r\nContent-Length: 3\r\n\r\nabc", status), false, {}});
+  }
+  asio::io_context io{1};
+  ScriptedUpstream upstream(io, scripts);
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    for (const auto& script : scripts) {
+      auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
+      const auto connection = std::move(opened.value());
+      const auto body = co_await ReadWhole(*connection);
+      EXPECT_TRUE(body.has_error() && core::Is(body.error(), ErrorKind::kMalformed))
+          << script.bytes;
+      EXPECT_FALSE(connection->reusable()) << script.bytes;
+    }
+  });
+}
+
 // A response whose head was cut off by the end of the connection must not be taken as a whole one
 // with a short or empty body, also where a body may end with the connection.
 TEST(UpstreamConnectionTest, TellsHeadsThatWereCutOffFromWholeOnes) {
