Http: A reset during the upload breaks a response without a length

A runner answered a long upload at once with a 200 without a length, sent a part of its body, ended its sending side and reset the connection while the upload was still on its way.

Cause: the end of the runner's sending side was taken for the end of the body. The reset arrived later, when nothing was read any more.

By the response alone this cannot be told from an early response that is whole. The router now waits, at most until the request's deadline, until the runner's system has acknowledged the request (SIOCOUTQ) or the connection was reset (SO_ERROR). A runner that answers early and reads on is still believed; its response is complete once it has read the request.

--- a/libraries/http/byte_stream.cc
+++ b/libraries/http/byte_stream.cc
@@ -1,7 +1,9 @@
 #include "libraries/http/byte_stream.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <openssl/ssl.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -133,6 +135,19 @@
   return this->is_open() && Peek(this->state->socket) == Pending::kBytes;
 }
 
+ByteStream::Delivery ByteStream::FindDelivery() {
+  if (!this->is_open()) return Delivery::kReset;
+  const auto handle = this->state->socket.native_handle();
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (getsockopt(handle, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0) {
+    return Delivery::kReset;
+  }
+  int bytes = 0;
+  const bool is_known = ioctl(handle, SIOCOUTQ, &bytes) == 0;
+  return is_known && bytes > 0 ? Delivery::kPending : Delivery::kDelivered;
+}
+
 bool ByteStream::IsAtEnd() {
   return !this->is_open() || Peek(this->state->socket) == Pending::kEnd;
 }
--- a/libraries/http/byte_stream.h
+++ b/libraries/http/byte_stream.h
@@ -60,6 +60,17 @@
   bool IsIdle();
   /// Returns true if the peer has sent data that was not read yet.
   bool HasInput();
+  /// What became of the bytes that were written.
+  enum class Delivery {
+    /// The peer has not acknowledged all of them.
+    kPending,
+    /// The peer's system has acknowledged all of them, or this system cannot tell.
+    kDelivered,
+    /// The connection was reset, also if data that arrived before can still be read.
+    kReset,
+  };
+  /// Tells of a reset once only.
+  Delivery FindDelivery();
   /// True if the stream is closed, or the peer has closed the connection and no data is waiting to
   /// be read. Does not block.
   bool IsAtEnd();
--- a/libraries/http/upstream_connection.cc
+++ b/libraries/http/upstream_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -38,6 +39,8 @@
 /// Maximum number of buffered bytes of an incomplete header, chunk header or trailer.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kLargestReadBlock;
 constexpr unsigned kMaxInterimResponses = 8;
+/// Interval at which it is checked whether the upstream has received the whole request.
+constexpr auto kDeliveryPollInterval = std::chrono::milliseconds(5);
 /// The parser takes any number of three digits as a status.
 constexpr unsigned kLowestStatus = 100;
 constexpr unsigned kHighestStatus = 599;
@@ -109,6 +112,7 @@
     }
     const auto [error, count] = co_await this->stream.ReadSome(asio::buffer(this->read_block));
     if (error == asio::error::eof && this->EndsWithConnection()) {
+      BOOST_OUTCOME_CO_TRY(co_await this->AwaitDelivery());
       beast::error_code end_error;
       this->parser->put_eof(end_error);
       if (!end_error) co_return core::Success();
@@ -121,6 +125,23 @@
     co_return core::Success();
   }
 
+  /// Returns when the upstream has received the whole request. One that resets the connection
+  /// instead has broken off its response, although the end of its sending side looked like the end
+  /// of the body.
+  asio::awaitable<core::Result<void>> AwaitDelivery() {
+    asio::steady_timer poll(this->executor);
+    auto delivery = this->stream.FindDelivery();
+    while (delivery == ByteStream::Delivery::kPending) {
+      poll.expires_after(kDeliveryPollInterval);
+      co_await poll.async_wait(kTuple);
+      delivery = this->stream.FindDelivery();
+    }
+    if (delivery == ByteStream::Delivery::kReset) {
+      co_return this->StreamError("before the upstream had received the whole request");
+    }
+    co_return core::Success();
+  }
+
   bool EndsWithConnection() const {
     return this->accept_close_delimited && this->parser->is_header_done() &&
            this->parser->need_eof();
--- a/libraries/http/upstream_connection.h
+++ b/libraries/http/upstream_connection.h
@@ -53,7 +53,8 @@
   boost::asio::awaitable<core::Result<std::optional<std::string>>> ReadPiece(
       core::Duration timeout);
   /// From now on a response may have neither a content length nor chunked coding. Its body is
-  /// complete when the upstream closes the connection normally; a reset is an error.
+  /// complete when the upstream closes the connection normally and has received the whole request;
+  /// a reset is an error, also between the end of the body and that of the request.
   void AcceptCloseDelimited();
   /// Call after a complete response that belongs to an earlier request. `ReadHead` then waits for
   /// the next response on this connection.
--- a/tests/libraries/http/upstream_test.cc
+++ b/tests/libraries/http/upstream_test.cc
@@ -1,8 +1,11 @@
 #include <fmt/format.h>
 #include <gmock/gmock.h>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -38,13 +41,14 @@
 }
 
 /// Sends a request and reads the whole body, or the first error.
-asio::awaitable<core::Result<std::string>> ReadWhole(UpstreamConnection& connection) {
-  const auto request = Get();
-  BOOST_OUTCOME_CO_TRY(co_await connection.Send(request, kTimeout));
-  BOOST_OUTCOME_CO_TRY(const auto head, co_await connection.ReadHead(kTimeout));
+asio::awaitable<core::Result<std::string>> ReadWhole(UpstreamConnection& connection,
+                                                     HttpRequest request = Get(),
+                                                     core::Duration timeout = kTimeout) {
+  BOOST_OUTCOME_CO_TRY(co_await connection.Send(request, timeout));
+  BOOST_OUTCOME_CO_TRY(const auto head, co_await connection.ReadHead(timeout));
   std::string body;
   while (true) {
-    BOOST_OUTCOME_CO_TRY(const auto piece, co_await connection.ReadPiece(kTimeout));
+    BOOST_OUTCOME_CO_TRY(const auto piece, co_await connection.ReadPiece(timeout));
     if (!piece) break;
     body += *piece;
   }
@@ -113,6 +117,62 @@
   });
 }
 
+enum class UploadEnd { kReset, kRead };
+
+/// Answers the first request before it has read the body, ends its sending side, and then resets
+/// the connection or reads on.
+asio::awaitable<void> AnswerEarly(asio::ip::tcp::acceptor& acceptor, UploadEnd end) {
+  auto [error, socket] = co_await acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+  RawConnection connection(std::move(socket));
+  co_await connection.ReadUntil("\r\n\r\n");
+  co_await connection.Send("HTTP/1.1 200 OK\r\n\r\npart");
+  connection.EndSending();
+  co_await Pause(std::chrono::milliseconds(50));
+  if (end == UploadEnd::kRead) {
+    co_await connection.ReadUntil("end of the body");
+  } else {
+    connection.socket.set_option(asio::socket_base::linger(true, 0));
+  }
+}
+
+/// Sends a request with a long body to `AnswerEarly` and reads the response.
+core::Result<std::string> Upload(UploadEnd end, std::size_t body_bytes) {
+  asio::io_context io{1};
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  asio::co_spawn(io, AnswerEarly(acceptor, end), asio::detached);
+  std::optional<core::Result<std::string>> result;
+  RunBody(io, [&]() -> asio::awaitable<void> {
+    auto opened =
+        co_await UpstreamConnection::Open(FormatEndpoint(acceptor.local_endpoint()), kTimeout);
+    const auto connection = std::move(opened.value());
+    connection->AcceptCloseDelimited();
+    auto request = Get();
+    request.method = "POST";
+    request.body = std::string(body_bytes, 'x') + "end of the body";
+    // The system notices with some delay that an upstream reads again.
+    result = co_await ReadWhole(*connection, request, std::chrono::seconds(5));
+  });
+  return *result;
+}
+
+// Guards against a part of a response that is taken for the whole: the upstream answers a long
+// upload without a length and resets the connection while the request is still on its way.
+TEST(UpstreamConnectionTest, AResetDuringTheUploadBreaksAResponseWithoutALength) {
+  for (const std::size_t bytes : {200'000U, 900'000U, 4'000'000U}) {
+    const auto body = Upload(UploadEnd::kReset, bytes);
+    EXPECT_TRUE(body.has_error()) << bytes;
+  }
+}
+
+// An upstream may answer before it has read the request.
+TEST(UpstreamConnectionTest, AnEarlyResponseWithoutALengthIsWholeOnceTheRequestWasRead) {
+  for (const std::size_t bytes : {0U, 200'000U, 900'000U}) {
+    const auto body = Upload(UploadEnd::kRead, bytes);
+    ASSERT_TRUE(body.has_value()) << bytes << body.error().message;
+    EXPECT_EQ(body.value(), "part") << bytes;
+  }
+}
+
 // Guards against a status outside of HTTP that reaches a caller as the response to its request.
 TEST(UpstreamConnectionTest, RejectsStatusesOutsideOfHttp) {
   std::vector<ScriptedUpstream::Script> scripts;
