Edge: Begin a share limit from what the workspace was sent in the window

A workspace that had used capacity nobody else asked for was refused for a long time once there was a share level: while there was none, what it was sent was taken from its allowance and nothing was added. The other way round, what was sent before the first level did not count at all.

A limit that comes into force now begins with what one share window allows, less what this router sent for the workspace in that window.

--- a/libraries/dispatch/share_window.cc
+++ b/libraries/dispatch/share_window.cc
@@ -50,6 +50,11 @@
   served.Add(now, -this->tokens);
 }
 
+void ShareAllowance::Begin(core::TimePoint now, double tokens) {
+  this->refilled_at = now;
+  this->balance = tokens;
+}
+
 void ShareAllowance::Refill(core::TimePoint now, double new_rate, double burst) {
   if (this->refilled_at) {
     const double seconds = std::chrono::duration<double>(now - *this->refilled_at).count();
--- a/libraries/dispatch/share_window.h
+++ b/libraries/dispatch/share_window.h
@@ -61,8 +61,14 @@
 /// of them at the same time. The balance of one router is known without delay.
 class ShareAllowance {
  public:
+  /// Returns false before `Begin` and after `Suspend`.
+  bool is_active() const { return this->refilled_at.has_value(); }
+  /// Call when a limit comes into force. `balance` is negative if more than that was sent before.
+  void Begin(core::TimePoint now, double balance);
+  /// Call while nothing limits the workspace. What is sent meanwhile does not count.
+  void Suspend() { this->refilled_at.reset(); }
   /// Adds the tokens of the time since the last call. `rate` is in tokens per second; the balance
-  /// does not exceed `burst` tokens, with which it starts.
+  /// does not exceed `burst` tokens, with which it starts unless `Begin` was called.
   void Refill(core::TimePoint now, double rate, double burst);
   /// Returns the time until the next request may be sent; zero if one may be sent now. A request
   /// may be sent while the balance is not negative, whatever its size.
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -45,6 +45,11 @@
                    {"requests", CountRequestsIn(state, domain)}});
 }
 
+// False if the capacity meets all demands, or if there is no level yet.
+bool IsShareLimited(const RouterState& state) {
+  return state.share_level > 0.0 && !std::isinf(state.share_level);
+}
+
 }  // namespace
 
 void IndexRunners(RouterState& state) {
@@ -180,7 +185,7 @@
 }
 
 core::Duration TimeUntilAllowed(RouterState& state, const std::string& workspace) {
-  if (workspace.empty() || state.share_level <= 0.0 || std::isinf(state.share_level)) return {};
+  if (workspace.empty() || !IsShareLimited(state)) return {};
   return TimeUntilAllowed(state, workspace, WindowOf(state, workspace));
 }
 
@@ -191,20 +196,27 @@
   constexpr double kMaxUse = 1.5;
   // Part of the share window whose tokens may be sent at once.
   constexpr double kBurstPart = 0.25;
-  if (workspace.empty() || state.share_level <= 0.0 || std::isinf(state.share_level)) return {};
+  if (workspace.empty() || !IsShareLimited(state)) return {};
   const auto now = state.clock.now();
   const double own = window.asked.Sum(now);
   const double all = own + state.peers.UsageOf(core::HashName(workspace)).asked;
   const double part = all > 0.0 ? own / all : 1.0;
   const double tokens_per_window = kMaxUse * state.share_level * part;
   const double seconds = std::chrono::duration<double>(ShareWindow(state)).count();
+  if (!window.allowance.is_active()) {
+    window.allowance.Begin(now, tokens_per_window - window.served.Sum(now));
+  }
   window.allowance.Refill(now, tokens_per_window / seconds, tokens_per_window * kBurstPart);
   return window.allowance.TimeUntilAllowed();
 }
 
 void CountServed(RouterState& state, const std::string& workspace, dispatch::RequestUse& use) {
   auto& window = WindowOf(state, workspace);
-  window.allowance.Take(use.uncounted_tokens());
+  if (IsShareLimited(state)) {
+    window.allowance.Take(use.uncounted_tokens());
+  } else {
+    window.allowance.Suspend();
+  }
   use.Count(window.served, state.clock.now());
 }
 
