Http: A server that must refuse closes queued TLS connections

With TLS the connections that were queued when the listener closed would have been served. Nothing uses both today; a 503 needs a handshake, whose cost the limit is there to bound.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -69,11 +69,12 @@
         open >= this->server->limits.maximum_connections && !MakeRoom(*this->server);
     // A 503 response over TLS requires a handshake, and the limits are there to bound that cost.
     if (is_beyond_limit && (this->tls || !MakeRoomForRefusal(*this->server))) return;
+    if (verdict == Verdict::kRefuse && this->tls) return;
     const auto connection = std::make_shared<ServerConnection>(this->server, std::move(stream),
                                                                executor, remote_address);
     if (is_beyond_limit) {
       Spawn(connection, connection->RefuseForLimit());
-    } else if (!this->tls && (verdict == Verdict::kRefuse || !this->MayServe())) {
+    } else if (verdict == Verdict::kRefuse || (!this->tls && !this->MayServe())) {
       Spawn(connection, connection->RefuseForLoad());
     } else {
       Spawn(connection, connection->Run());
--- a/libraries/http/server_options.h
+++ b/libraries/http/server_options.h
@@ -55,9 +55,10 @@
   /// are always accepted.
   std::function<bool(core::Duration)> may_accept;
   /// Called before connections are accepted. If it returns true, the connections that wait are
-  /// refused with 503, and nothing listens at the address until it returns false: the system
-  /// refuses further connections, which costs this process nothing, before their callers have sent
-  /// anything. If null, connections are never refused this way.
+  /// refused with 503 (over TLS closed without a response), and nothing listens at the address
+  /// until it returns false: the system refuses further connections, which costs this process
+  /// nothing, before their callers have sent anything. If null, connections are never refused this
+  /// way.
   std::function<bool()> must_refuse;
   /// Called for each accepted connection. If it returns false, the connection is refused at once
   /// with 503, before anything is read from it. If null, all are served.
