Dispatch: Let a share allowance start in one way only

Since Begin exists, the start inside Refill was reached by two tests only. They call Begin with the same balance now; their assertions are unchanged.

--- a/libraries/dispatch/share_window.cc
+++ b/libraries/dispatch/share_window.cc
@@ -56,12 +56,9 @@
 }
 
 void ShareAllowance::Refill(core::TimePoint now, double new_rate, double burst) {
-  if (this->refilled_at) {
-    const double seconds = std::chrono::duration<double>(now - *this->refilled_at).count();
-    this->balance = std::min(this->balance + new_rate * seconds, burst);
-  } else {
-    this->balance = burst;
-  }
+  const auto since = this->refilled_at.value_or(now);
+  const double seconds = std::chrono::duration<double>(now - since).count();
+  this->balance = std::min(this->balance + new_rate * seconds, burst);
   this->refilled_at = now;
   this->rate = new_rate;
 }
--- a/libraries/dispatch/share_window.h
+++ b/libraries/dispatch/share_window.h
@@ -67,8 +67,8 @@
   void Begin(core::TimePoint now, double balance);
   /// Call while nothing limits the workspace. What is sent meanwhile does not count.
   void Suspend() { this->refilled_at.reset(); }
-  /// Adds the tokens of the time since the last call. `rate` is in tokens per second; the balance
-  /// does not exceed `burst` tokens, with which it starts unless `Begin` was called.
+  /// Adds the tokens of the time since `Begin` or the last call. `rate` is in tokens per second;
+  /// the balance does not exceed `burst` tokens.
   void Refill(core::TimePoint now, double rate, double burst);
   /// Returns the time until the next request may be sent; zero if one may be sent now. A request
   /// may be sent while the balance is not negative, whatever its size.
--- a/tests/libraries/dispatch/state_test.cc
+++ b/tests/libraries/dispatch/state_test.cc
@@ -184,6 +184,7 @@
 TEST(ShareAllowanceTest, AdmitsAnySizeAndIsExactOverTime) {
   ShareAllowance allowance;
   core::TimePoint now{std::chrono::hours(1)};
+  allowance.Begin(now, 250.0);
   allowance.Refill(now, 1'000.0, 250.0);
   EXPECT_EQ(allowance.TimeUntilAllowed(), core::Duration::zero());
   allowance.Take(2'250.0);
@@ -203,6 +204,7 @@
 TEST(ShareAllowanceTest, RecoversWhenTheRateReturns) {
   ShareAllowance allowance;
   core::TimePoint now{std::chrono::hours(1)};
+  allowance.Begin(now, 0.0);
   allowance.Refill(now, 0.0, 0.0);
   allowance.Take(100.0);
   EXPECT_EQ(allowance.TimeUntilAllowed(), seconds(60));
