--- a/tests/libraries/http/upstream_test.cc
+++ b/tests/libraries/http/upstream_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -40,6 +41,11 @@
   return FormatEndpoint(acceptor.local_endpoint());
 }
 
+asio::awaitable<std::unique_ptr<UpstreamConnection>> Connect(std::string address) {
+  auto opened = co_await UpstreamConnection::Open(std::move(address), kTimeout);
+  co_return std::move(opened.value());
+}
+
 /// Sends a request and reads the whole body, or the first error.
 asio::awaitable<core::Result<std::string>> ReadWhole(UpstreamConnection& connection,
                                                      HttpRequest request = Get(),
@@ -101,8 +107,7 @@
   ScriptedUpstream upstream(io, scripts);
   RunBody(io, [&]() -> asio::awaitable<void> {
     for (const auto& item : cases) {
-      auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
-      const auto connection = std::move(opened.value());
+      const auto connection = co_await Connect(upstream.address());
       const auto body = co_await ReadWhole(*connection);
       EXPECT_EQ(body.has_value(), !item.error.has_value()) << item.name;
       if (body) {
@@ -142,9 +147,7 @@
   asio::co_spawn(io, AnswerEarly(acceptor, end), asio::detached);
   std::optional<core::Result<std::string>> result;
   RunBody(io, [&]() -> asio::awaitable<void> {
-    auto opened =
-        co_await UpstreamConnection::Open(FormatEndpoint(acceptor.local_endpoint()), kTimeout);
-    const auto connection = std::move(opened.value());
+    const auto connection = co_await Connect(FormatEndpoint(acceptor.local_endpoint()));
     connection->AcceptCloseDelimited();
     auto request = Get();
     request.method = "POST";
@@ -184,8 +187,7 @@
   ScriptedUpstream upstream(io, scripts);
   RunBody(io, [&]() -> asio::awaitable<void> {
     for (const auto& script : scripts) {
-      auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
-      const auto connection = std::move(opened.value());
+      const auto connection = co_await Connect(upstream.address());
       const auto body = co_await ReadWhole(*connection);
       EXPECT_TRUE(body.has_error() && core::Is(body.error(), ErrorKind::kMalformed))
           << script.bytes;
@@ -212,8 +214,7 @@
   ScriptedUpstream upstream(io, scripts);
   RunBody(io, [&]() -> asio::awaitable<void> {
     for (const auto& script : scripts) {
-      auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
-      const auto connection = std::move(opened.value());
+      const auto connection = co_await Connect(upstream.address());
       connection->AcceptCloseDelimited();
       const auto body = co_await ReadWhole(*connection);
       EXPECT_TRUE(body.has_error()) << script.bytes;
@@ -242,8 +243,7 @@
       pool.Release(std::move(connection));
       co_await Pause(milliseconds(60));
     }
-    auto opened = co_await UpstreamConnection::Open(upstream.address(), kTimeout);
-    const auto connection = std::move(opened.value());
+    const auto connection = co_await Connect(upstream.address());
     std::ignore = co_await ReadWhole(*connection);
     EXPECT_TRUE(connection->reusable());
     co_await Pause(milliseconds(60));
