--- a/libraries/dispatch/entry_rate.cc
+++ b/libraries/dispatch/entry_rate.cc
@@ -44,9 +44,7 @@
   const double current = std::exchange(this->accepted, 0.0) / seconds;
   this->accepted_per_second += kSmoothingFactor * (current - this->accepted_per_second);
   if (!this->rate) {
-    const bool is_overloaded =
-        is_long && this->long_since && now - *this->long_since >= kToleratedOverload;
-    if (!is_overloaded) return;
+    if (!is_long || now - *this->long_since < kToleratedOverload) return;
     this->rate = std::max(this->accepted_per_second * kFirstLimitPart, kMinRate);
     this->budget = 0.0;
     this->last_needed = now;
--- a/libraries/dispatch/entry_rate.h
+++ b/libraries/dispatch/entry_rate.h
@@ -31,7 +31,7 @@
   std::optional<double> rate;
   /// Connections that may be accepted now.
   double budget = 0.0;
-  /// Connections accepted since the last timer, and their smoothed number per second.
+  /// Connections accepted since the last turn, and their smoothed number per second.
   double accepted = 0.0;
   double accepted_per_second = 0.0;
   std::optional<core::TimePoint> last_turn;
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -58,8 +58,8 @@
   core::Duration TickOverdue() const;
   /// Returns true if caller connections may be accepted after a pause of accepting of this length.
   bool MayAccept(core::Duration paused) const;
-  /// Returns false if a connection that was just accepted is refused, because its request would
-  /// wait for processor time.
+  /// Counts a connection that was just accepted. Returns false if it is refused, because its
+  /// request would wait for processor time.
   bool MayServe();
   /// Returns true if the request is to be refused because the process is overloaded.
   bool MustShed(const http::HttpRequest& request);
