Review: Prompts of many small parts exceed the memory of all routers

Cause: the record of prefixes that engines hold is limited by tokens and not by entries. Parts of a few tokens take about 190 bytes each, at every router of the fleet.

--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -427,6 +427,7 @@
             raise CannotRun(f"{self.command[0]} is missing; run the build of the deploy file first")
         self.log = open(pathlib.Path(self.folder.name) / "log", "ab")
         self.process = None
+        self.peak_mb, self.kills = 0.0, 0
 
     def start(self):
         environment = {"PATH": os.environ["PATH"], "POMELOSPAR_NODE_FILE": str(self.settings)}
@@ -442,6 +443,22 @@
             return 0.0
         return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
 
+    async def keep_within_memory(self, restart_seconds=1.0):
+        """Does what the platform does: kills a process that exceeds `memory-mb`, and starts it again."""
+        while True:
+            used = self.resident_mb()
+            self.peak_mb = max(self.peak_mb, used)
+            ended = self.process.poll()
+            if used > self.memory_mb or ended is not None:
+                self.record.write("killed_for_memory", ip=self.ip, mb=round(used), ended_by_itself=ended)
+                self.kills += 1
+                if ended is None:
+                    self.process.kill()
+                self.process.wait()
+                await asyncio.sleep(restart_seconds)
+                self.start()
+            await asyncio.sleep(0.02)
+
     async def is_ready(self):
         try:
             reader, writer = await asyncio.open_connection(self.ip, self.ready_port)
@@ -476,8 +493,8 @@
         self.count = 0
         self.reader = self.writer = None
 
-    async def send(self, path, deadline_ms):
-        """Sends one request and returns what came of it."""
+    async def send(self, path, deadline_ms, tokens="826,58", parts=None):
+        """Sends one request and returns what came of it; `parts` lists the parts of its prompt."""
         self.count += 1
         attempt = f"{self.name}-{self.count}"
         if self.writer is None:
@@ -490,7 +507,8 @@
         lines = [
             f"POST {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt}",
             f"X-Deadline-Ms: {deadline_ms}", f"Authorization: Token {self.key}", "X-Model: m",
-            "X-Token-Usage: 826,58", f"X-Prompt-Prefix: 5c1e07a2:198,{abs(hash(attempt)):x}:628",
+            f"X-Token-Usage: {tokens}",
+            f"X-Prompt-Prefix: {parts or f'5c1e07a2:198,{abs(hash(attempt)):x}:628'}",
             "Content-Length: 5", "", ""]
         self.record.write("sent", attempt=attempt, path=path)
         try:
