Review: An error of the stand-ins counts as a case that could not run

Cases 6 and 9 start as the others do, so that an exception in a script ends it with 2 and not with 1.

--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -581,7 +582,8 @@
     async def run():
         try:
             status = await asyncio.wait_for(main(record, at_end), 110)
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except Exception as error:  # pylint: disable=broad-except
+            traceback.print_exc()
             record.summary(f"could not run: {error!r}")
             status = NOT_RUN
         finally:
