Store: Read a table whole after the store has come back from an older copy

Cause: a router reads the changes after a version (`WatchTable`). The copy gives out versions again, so that once the store had passed the old version the answer was 200 without rows, and each empty answer confirmed the old configuration, so that keys never failed closed. Nothing read Store-Era.

Change: the epoch of each answer reaches its user (`StoreEpoch`). A position is used only in its epoch; otherwise the table is read whole. Answers from before a return that is already known are not used. Proofs and evacuations carry the epoch and are compared only within it; the estimate of the store's clock starts anew. After a return the configuration in force is confirmed only once the store holds it again, or 10 s later, as the store may lack a newer one. A configuration written again under a known version with another content is taken. Whole reads are spread over 0.5 s in a large fleet. Routers that hold different states ask the store once a second for it, not at each report. Logs: `store_epoch`; `load` tells the version in force, who confirmed it and from where this router reads on.

--- a/libraries/dispatch/evacuations.cc
+++ b/libraries/dispatch/evacuations.cc
@@ -18,9 +18,9 @@
 }
 
 Evacuations AfterRows(const Evacuations& known, std::span<const EvacuationRow> rows, bool whole,
-                      std::uint64_t version) {
+                      StorePosition position) {
   Evacuations result;
-  result.version = version;
+  result.position = position;
   if (!whole) result.domains = known.domains;
   for (const auto& row : rows) {
     if (row.removed) {
@@ -33,7 +33,7 @@
 }
 
 bool IsNewer(const Evacuations& other, const Evacuations& known) {
-  return other.version > known.version;
+  return other.position > known.position;
 }
 
 std::uint64_t HashOf(const Evacuations& evacuations) {
--- a/libraries/dispatch/evacuations.h
+++ b/libraries/dispatch/evacuations.h
@@ -9,13 +9,15 @@
 #include <string>
 #include <string_view>
 
+#include "libraries/dispatch/store_position.h"
+
 namespace pomelospar::dispatch {
 
 /// Failure domains whose runners get no requests because the operator has evacuated them.
 struct Evacuations {
-  /// Version of the store at which these domains were evacuated; 0 before the first read. A higher
-  /// version is newer, whoever read it.
-  std::uint64_t version = 0;
+  /// Moment of the store at which these domains were evacuated; version 0 before the first read. A
+  /// later moment is newer, whoever read it.
+  StorePosition position;
   std::set<std::string, std::less<>> domains;
 };
 
@@ -35,11 +37,11 @@
 /// Returns true if a domain of this name can be evacuated.
 bool IsValidDomainName(std::string_view domain);
 
-/// Returns `known` after the rows read at `version`. `whole` is true if the rows are the whole
+/// Returns `known` after the rows read at `position`. `whole` is true if the rows are the whole
 /// table; otherwise they are changes since an earlier read. Invalid names and domains beyond
 /// `kMaxEvacuatedDomains` or `kMaxDomainNamesBytes` are left out.
 Evacuations AfterRows(const Evacuations& known, std::span<const EvacuationRow> rows, bool whole,
-                      std::uint64_t version);
+                      StorePosition position);
 
 /// Returns true if `other` was read later than `known`.
 bool IsNewer(const Evacuations& other, const Evacuations& known);
--- a/libraries/dispatch/table_proof.cc
+++ b/libraries/dispatch/table_proof.cc
@@ -12,7 +12,12 @@
 
 ProofEffect CompareProofs(const std::optional<TableProof>& own,
                           const std::optional<TableProof>& peer) {
-  if (!own || !peer || peer->at <= own->at) return ProofEffect::kNone;
+  if (!own || !peer) return ProofEffect::kNone;
+  if (own->epoch != peer->epoch) {
+    const bool is_later = own->epoch && peer->epoch && *peer->epoch > *own->epoch;
+    return is_later ? ProofEffect::kOutdates : ProofEffect::kNone;
+  }
+  if (peer->at <= own->at) return ProofEffect::kNone;
   return peer->state == own->state ? ProofEffect::kConfirms : ProofEffect::kOutdates;
 }
 
--- a/libraries/dispatch/table_proof.h
+++ b/libraries/dispatch/table_proof.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "libraries/core/clock.h"
+#include "libraries/dispatch/store_position.h"
 
 namespace pomelospar::dispatch {
 
@@ -16,17 +17,21 @@
   std::uint64_t state = 0;
   /// Time by the store's steady clock.
   core::Duration at{};
+  /// The epoch of that clock.
+  StoreEpoch epoch;
 };
 
 enum class ProofEffect {
   kNone,
   /// The router's content was still current at the time of the peer's proof.
   kConfirms,
-  /// The table has changed since the router's own proof.
+  /// The table has changed since the router's own proof, or the store has come back from an older
+  /// copy since, so that the router cannot know whether it has.
   kOutdates,
 };
 
-/// Compares a peer's proof with the router's own one.
+/// Compares a peer's proof with the router's own one. A proof of an earlier epoch, and one of which
+/// only one side knows the epoch, has no effect.
 ProofEffect CompareProofs(const std::optional<TableProof>& own,
                           const std::optional<TableProof>& peer);
 
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -249,6 +249,9 @@
 void Edge::LogLoad() {
   const double age =
       core::ToMilliseconds(this->state.clock.since_boot() - this->state.policy_confirmed_at);
+  // -1 if the store does not tell it.
+  const auto read_epoch = this->state.policy_position.epoch;
+  const std::int64_t epoch = read_epoch ? static_cast<std::int64_t>(*read_epoch) : -1;
   this->log.Write(LogLevel::kInfo, "load",
                   {{"connections", std::uint64_t{this->caller_server->connections()}},
                    {"requests", std::uint64_t{this->caller_server->active_exchanges()}},
@@ -267,7 +270,11 @@
                    {"refused_for_limit", this->caller_server->refused_for_limit()},
                    {"listening_pauses", this->caller_server->listening_pauses()},
                    {"entry_limit", this->entry_rate.limit().value_or(-1.0)},
-                   {"policy_age_ms", age}});
+                   {"policy", this->state.policy ? this->state.policy->version : std::uint64_t{0}},
+                   {"policy_age_ms", age},
+                   {"policy_confirmed_by", this->state.policy_confirmed_by},
+                   {"policy_read_at", this->state.policy_position.version},
+                   {"policy_read_epoch", epoch}});
   const auto set = [this](std::string_view name, std::string_view help, std::uint64_t value) {
     this->state.metrics.FindGauge(name, help, {}).Set(static_cast<double>(value));
   };
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -26,14 +26,20 @@
   return std::chrono::floor<std::chrono::milliseconds>(time).count();
 }
 
+template <typename Message>
+dispatch::StoreEpoch DecodeEpoch(const Message& message) {
+  return message.has_epoch() ? dispatch::StoreEpoch(message.epoch()) : std::nullopt;
+}
+
 // The time is rounded down, so that the proof never claims a later time than its sender knows.
 void Encode(const dispatch::TableProof& proof, report::TableProof& message) {
   message.set_state(proof.state);
   message.set_at_ms(FloorMilliseconds(proof.at));
+  if (proof.epoch) message.set_epoch(*proof.epoch);
 }
 
 dispatch::TableProof Decode(const report::TableProof& message) {
-  return {message.state(), std::chrono::milliseconds(message.at_ms())};
+  return {message.state(), std::chrono::milliseconds(message.at_ms()), DecodeEpoch(message)};
 }
 
 void Encode(const dispatch::EngineLoad& load, report::RunnerLoad& message) {
@@ -207,14 +213,15 @@
 }
 
 void Encode(const dispatch::Evacuations& evacuations, report::Evacuations& message) {
-  message.set_version(evacuations.version);
+  message.set_version(evacuations.position.version);
+  if (evacuations.position.epoch) message.set_epoch(*evacuations.position.epoch);
   for (const auto& domain : evacuations.domains) message.add_domains(domain);
 }
 
 dispatch::Evacuations Decode(const report::Evacuations& message) {
   std::vector<dispatch::EvacuationRow> rows;
   for (const auto& domain : message.domains()) rows.push_back({domain});
-  return dispatch::AfterRows({}, rows, true, message.version());
+  return dispatch::AfterRows({}, rows, true, {DecodeEpoch(message), message.version()});
 }
 
 dispatch::PeerReport Decode(const report::Report& message) {
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -41,7 +41,7 @@
                   {{"domain", domain},
                    {"phase", phase},
                    {"source", source},
-                   {"store_version", state.evacuations.version},
+                   {"store_version", state.evacuations.position.version},
                    {"requests", CountRequestsIn(state, domain)}});
 }
 
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -96,6 +96,10 @@
   core::TimePoint broken_at;
 };
 
+/// After the store has come back from an older copy, the operator writes again what the copy lacks.
+/// For this time, what it is known to have written is taken as still in force.
+inline constexpr core::Duration kOperatorRewriteTime = std::chrono::seconds(10);
+
 /// Requests of one upstream that leave this router's failure domain.
 struct DomainLeaving {
   dispatch::LeavingShare share;
@@ -126,6 +130,10 @@
   dispatch::Evacuations evacuations;
   /// Latest time since boot at which `policy` was known to be the newest configuration.
   core::Duration policy_confirmed_at{};
+  /// Who showed that: "store", or the name of another router.
+  std::string policy_confirmed_by;
+  /// Moment of the store up to which this router has read the operator's table itself.
+  dispatch::StorePosition policy_position;
 
   /// Prompt prefixes in the caches of all runners.
   std::shared_ptr<dispatch::PrefixIndex> prefix_index = std::make_shared<dispatch::PrefixIndex>();
--- /dev/null
+++ b/services/pomelospar_edge/store_epoch.cc
@@ -0,0 +1,96 @@
+// The parts of StoreSync that handle a return of the store from an older copy of its content.
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "services/pomelospar_edge/store_sync.h"
+
+namespace pomelospar::edge {
+namespace {
+
+namespace asio = boost::asio;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+// Longest time before a router of a large fleet reads a table again, so that not all of them do so
+// at the same moment.
+constexpr core::Duration kRereadSpread = milliseconds(500);
+// The same for the rows of the routers, which are less urgent, in a fleet of any size.
+constexpr core::Duration kRouterRereadSpread = milliseconds(2000);
+constexpr std::size_t kLongestLoggedHeader = 40;
+
+// -1 if the store did not tell the epoch.
+std::int64_t Loggable(dispatch::StoreEpoch epoch) {
+  return epoch ? static_cast<std::int64_t>(*epoch) : -1;
+}
+
+std::uint64_t VersionOf(const std::optional<dispatch::StorePosition>& position) {
+  return position ? position->version : 0;
+}
+
+}  // namespace
+
+void StoreSync::OnEpoch(dispatch::StoreEpoch before, std::string_view header) {
+  const auto& epochs = this->store.epochs();
+  const bool is_first = epochs.changes == 0;
+  const bool is_usable = epochs.current.has_value() || (header.empty() && !before);
+  this->router.log.Write(
+      is_first && is_usable ? LogLevel::kInfo : LogLevel::kWarning, "store_epoch",
+      {{"before", Loggable(before)},
+       {"epoch", Loggable(epochs.current)},
+       {"header", header.substr(0, kLongestLoggedHeader)},
+       {"operator_version", VersionOf(this->policy_watch.position)},
+       {"runners_version", VersionOf(this->runner_watch.position)},
+       {"policy", this->router.policy ? this->router.policy->version : std::uint64_t{0}}});
+  this->router.metrics
+      .FindGauge("pomelospar_store_epoch",
+                 "How often the store has come back from an older copy; -1 if it does not tell.",
+                 {})
+      .Set(static_cast<double>(Loggable(epochs.current)));
+  if (is_first) return;
+  const auto now = this->router.clock.now();
+  this->epoch_began = now;
+  this->store_clock = {};
+  this->runner_watch.regained_stamp.reset();
+  for (const auto& [id, runner] : this->router.runners) runner->entry_version = 0;
+  for (auto* watch : {&this->policy_watch, &this->runner_watch}) {
+    watch->reread_due = now;
+    if (this->router.is_large_fleet && !this->is_store_poller.value_or(false)) {
+      *watch->reread_due += this->Jitter(kRereadSpread);
+    }
+    watch->timer.cancel();
+  }
+  asio::co_spawn(this->router.io, this->RereadRouters(), asio::detached);
+}
+
+asio::awaitable<void> StoreSync::RereadRouters() {
+  const auto changes = this->store.epochs().changes;
+  auto& watch = this->router_watch;
+  asio::steady_timer timer(this->router.io);
+  while (!this->router.stop) {
+    timer.expires_after(this->Jitter(kRouterRereadSpread));
+    co_await timer.async_wait(kTuple);
+    // A later return has begun another one of these, or the watch itself has read the rows.
+    if (changes != this->store.epochs().changes || this->IsReadInEpoch(watch)) break;
+    const auto asked_at = this->router.clock.since_boot();
+    const auto rows = co_await this->QueryStore(watch, std::nullopt);
+    if (rows && changes == this->store.epochs().changes) {
+      this->ApplyAnswer(watch, std::nullopt, rows.value(), asked_at);
+    }
+  }
+}
+
+bool StoreSync::IsReadInEpoch(const TableWatch& watch) const {
+  return dispatch::ReadingPosition(watch.position, this->store.epochs()).has_value();
+}
+
+void StoreSync::RecordReturn(TableWatch& watch) {
+  watch.regained_at = this->router.clock.now();
+  watch.regained_stamp = this->store_clock.EarliestRemote(this->router.clock.since_boot());
+}
+
+}  // namespace pomelospar::edge
--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -17,6 +17,8 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 // Period in which a router that waits for proofs checks whether it now has rank 0.
 constexpr core::Duration kRoleCheckPeriod = milliseconds(250);
+// Shortest time between queries for a reported state that the store did not show.
+constexpr core::Duration kDisputePause = milliseconds(1000);
 
 }  // namespace
 
@@ -51,6 +53,9 @@
       const auto outdated_for = this->router.clock.now() - *watch.outdated_since;
       left = std::min<core::Duration>(left, watch.relay_timeout - outdated_for);
     }
+    if (watch.reread_due) {
+      left = std::min<core::Duration>(left, *watch.reread_due - this->router.clock.now());
+    }
     if (left <= core::Duration::zero()) break;
     watch.timer.expires_after(std::min<core::Duration>(left, kRoleCheckPeriod));
     co_await watch.timer.async_wait(kTuple);
@@ -60,17 +65,25 @@
 void StoreSync::SetProof(TableWatch& watch, std::uint64_t state, core::Duration asked_at) {
   const auto at = this->store_clock.EarliestRemote(asked_at);
   if (!at) return;
-  const bool changed = watch.proof && watch.proof->state != state;
-  watch.proof = dispatch::TableProof{state, *at};
+  const auto epoch = this->store.epochs().current;
+  const bool changed = watch.proof && (watch.proof->state != state || watch.proof->epoch != epoch);
+  watch.proof = dispatch::TableProof{state, *at, epoch};
+  watch.disputed_state.reset();
+  if (watch.outdating_state != state && asked_at >= watch.outdated_at) {
+    watch.disputed_state = watch.outdating_state;
+  }
   if (changed && this->is_store_poller.value_or(true)) this->peers.ReportSoon();
 }
 
 void StoreSync::OnReport(const dispatch::PeerReport& report) {
   if (report.evacuations) this->ApplyReportedEvacuations(*report.evacuations, report.sender);
   if (const auto at = this->ApplyProof(this->policy_watch, report.policy, report.sender)) {
-    this->router.policy_confirmed_at = std::max(this->router.policy_confirmed_at, *at);
+    this->ConfirmPolicy(*at, report.sender);
   }
-  if (report.store_regained_at) this->RecordStoreReturn(*report.store_regained_at);
+  // The time is of the clock of the sender's epoch.
+  const bool is_comparable =
+      report.directory && report.directory->epoch == this->store.epochs().current;
+  if (report.store_regained_at && is_comparable) this->RecordStoreReturn(*report.store_regained_at);
   this->ApplyDirectoryChanges(report);
   this->ApplyProof(this->runner_watch, report.directory, report.sender);
 }
@@ -118,6 +131,8 @@
   const auto effect = dispatch::CompareProofs(watch.proof, proof);
   if (effect == dispatch::ProofEffect::kNone) return std::nullopt;
   if (effect == dispatch::ProofEffect::kConfirms) {
+    // Another table may have shown the next epoch already, with another clock.
+    if (proof->epoch != this->store.epochs().current) return std::nullopt;
     const auto at = this->store_clock.EarliestLocal(proof->at);
     if (!at) return std::nullopt;
     watch.proof = proof;
@@ -125,7 +140,14 @@
     watch.confirmed_at = std::max(watch.confirmed_at, *at);
     return at;
   }
-  if (!watch.outdated_since) {
+  // A state that this router did not find in the store may never be found there: the configuration
+  // that it holds may be newer than the one that the store has come back with.
+  const bool is_disputed = proof->epoch == watch.proof->epoch &&
+                           proof->state == watch.disputed_state &&
+                           this->router.clock.now() - watch.answered_at < kDisputePause;
+  if (!watch.outdated_since && !is_disputed) {
+    watch.outdating_state = proof->state;
+    watch.outdated_at = this->router.clock.since_boot();
     watch.outdated_since = this->router.clock.now();
     this->router.log.Write(LogLevel::kInfo, "table_changed",
                            {{"table", watch.table}, {"peer", sender}, {"state", proof->state}});
--- a/services/pomelospar_edge/store_registration.cc
+++ b/services/pomelospar_edge/store_registration.cc
@@ -115,6 +115,8 @@
 
 void StoreSync::RemoveSilentRouters() {
   if (this->is_removing_silent || this->router_watch.failing || !this->is_registered) return;
+  // The versions of the rows must be of the current epoch.
+  if (!this->IsReadInEpoch(this->router_watch)) return;
   if (this->router.stop || !this->is_store_poller.value_or(false)) return;
   auto silent = this->peers.SilentListedPeers(kSilentRouterTime);
   if (silent.empty()) return;
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -49,6 +49,8 @@
 constexpr core::Duration kFollowerFailurePause = milliseconds(1000);
 // Entries that lapsed during an outage of the store come back within about two seconds of its end.
 constexpr core::Duration kRunnerReturnTime = milliseconds(1700);
+// Pause after an answer from before a return of the store from an older copy.
+constexpr core::Duration kLateAnswerPause = milliseconds(20);
 
 }  // namespace
 
@@ -89,7 +91,8 @@
   };
   this->peers.fill_report = [this](dispatch::PeerReport& report) {
     report.policy = this->policy_watch.proof;
-    if (this->router.evacuations.version > 0) report.evacuations = this->router.evacuations;
+    if (this->router.evacuations.position.version > 0)
+      report.evacuations = this->router.evacuations;
     report.directory = this->runner_watch.proof;
     report.store_regained_at = this->runner_watch.regained_stamp;
     if (this->is_store_poller.value_or(false)) {
@@ -97,6 +100,7 @@
     }
   };
   this->peers.on_report = [this](const auto& report) { this->OnReport(report); };
+  this->store.on_epoch = [this](auto before, auto header) { this->OnEpoch(before, header); };
 }
 
 void StoreSync::Start() {
@@ -123,31 +127,31 @@
 void StoreSync::RecordQuerySuccess(TableWatch& watch) {
   if (!watch.failing) return;
   watch.failing = false;
-  watch.regained_at = this->router.clock.now();
-  watch.regained_stamp = this->store_clock.EarliestRemote(this->router.clock.since_boot());
+  this->RecordReturn(watch);
   this->router.log.Write(LogLevel::kInfo, "store_regained", {{"table", watch.table}});
 }
 
 // Written without conditional expressions that contain co_await: g++ 12 destroys their temporaries
 // twice.
-asio::awaitable<core::Result<adapter::StoreRows>> StoreSync::QueryStore(const TableWatch& watch,
-                                                                        bool whole,
-                                                                        std::uint64_t version) {
+asio::awaitable<core::Result<adapter::StoreRows>> StoreSync::QueryStore(
+    const TableWatch& watch, std::optional<dispatch::StorePosition> position) {
   this->router.metrics
       .FindCounter("pomelospar_store_calls_total", "Reads of the platform's tables.",
                    {{"table", watch.table}})
       .Add();
-  if (whole) return this->store.ReadTable(watch.table, kStoreCallTimeout);
+  if (!position) return this->store.ReadTable(watch.table, kStoreCallTimeout);
   // For a relayed table, only the router that queries for the others lets the store hold the call
   // until the next change.
   const bool waits = !watch.relayed || this->is_store_poller.value_or(false);
   const auto wait = waits ? watch.schedule.wait : core::Duration::zero();
-  return this->store.WaitForChanges(watch.table, version, wait, wait + kStoreCallTimeout);
+  return this->store.WaitForChanges(watch.table, position->version, wait, wait + kStoreCallTimeout);
 }
 
 void StoreSync::RecordAnswer(TableWatch& watch, const adapter::StoreRows& rows,
                              core::Duration asked_at) {
   watch.outdated_since.reset();
+  watch.reread_due.reset();
+  watch.answered_at = this->router.clock.now();
   watch.confirmed_at = std::max(watch.confirmed_at, asked_at);
   if (rows.stamp) {
     this->store_clock.Record(asked_at, this->router.clock.since_boot(), *rows.stamp);
@@ -158,31 +162,39 @@
   }
 }
 
+bool StoreSync::ApplyAnswer(TableWatch& watch, std::optional<dispatch::StorePosition> position,
+                            const adapter::StoreRows& rows, core::Duration asked_at) {
+  if (!dispatch::HoldsAllChangesSince(position, rows.epoch)) return false;
+  this->RecordAnswer(watch, rows, asked_at);
+  this->RecordQuerySuccess(watch);
+  const bool is_return = watch.position && watch.position->epoch != rows.epoch;
+  if (is_return) this->RecordReturn(watch);
+  watch.position = {rows.epoch, rows.version};
+  watch.apply(rows, !position, asked_at);
+  return true;
+}
+
 asio::awaitable<void> StoreSync::WatchTable(TableWatch& watch) {
-  std::uint64_t version = 0;
-  bool whole = true;
   while (true) {
-    if (!whole && watch.relayed && !watch.failing) {
+    if (watch.position && watch.relayed && !watch.failing) {
       co_await this->WaitUntilDue(watch);
     }
+    const auto position = dispatch::ReadingPosition(watch.position, this->store.epochs());
     const auto asked_at = this->router.clock.since_boot();
-    const auto rows = co_await this->QueryStore(watch, whole, version);
+    const auto rows = co_await this->QueryStore(watch, position);
     if (rows) {
-      this->RecordQuerySuccess(watch);
-      version = rows.value().version;
-      this->RecordAnswer(watch, rows.value(), asked_at);
-      watch.apply(rows.value(), whole, asked_at);
-      whole = false;
+      if (!this->ApplyAnswer(watch, position, rows.value(), asked_at)) continue;
       this->UpdateRole();
       watch.was_poller = this->is_store_poller.value_or(false);
       const bool first = !watch.relayed || watch.was_poller;
       watch.timer.expires_after(first ? watch.pause : watch.follower_pause);
+    } else if (core::Is(rows.error(), core::ErrorKind::kNotFound)) {
+      watch.position.reset();
+      this->router.log.Write(LogLevel::kInfo, "store_history_dropped", {{"table", watch.table}});
+      continue;
+    } else if (core::Is(rows.error(), core::ErrorKind::kConflict)) {
+      watch.timer.expires_after(kLateAnswerPause);
     } else {
-      if (core::Is(rows.error(), core::ErrorKind::kNotFound)) {
-        whole = true;
-        this->router.log.Write(LogLevel::kInfo, "store_history_dropped", {{"table", watch.table}});
-        continue;
-      }
       this->RecordQueryFailure(watch, rows.error());
       watch.timer.expires_after(
           this->Jitter(this->CanRelyOnOthers(watch) ? kFollowerFailurePause : kFailurePause));
@@ -209,19 +221,68 @@
     }
     evacuations.push_back({std::move(domain), removed});
   };
-  for (const auto& row : rows.rows) add(row.key, row.removed);
+  for (const auto& row : rows.rows) {
+    add(row.key, row.removed);
+  }
   // The presence of the row requests the evacuation, whatever its value is.
   for (const auto& key : rows.unreadable_keys) add(key, false);
   const auto known = this->router.evacuations;
-  AdoptEvacuations(this->router, dispatch::AfterRows(known, evacuations, whole, rows.version),
+  AdoptEvacuations(this->router,
+                   dispatch::AfterRows(known, evacuations, whole, {rows.epoch, rows.version}),
                    "store");
 }
 
-// Without evacuations it is the version of the configuration.
+// The version of the configuration in force, unless there are evacuations or the store lacks it.
 std::uint64_t StoreSync::PolicyState() const {
+  auto state = this->router.policy->version;
   const auto evacuations = dispatch::HashOf(this->router.evacuations);
-  const auto version = this->router.policy->version;
-  return evacuations == 0 ? version : core::CombineHashes(version, evacuations);
+  if (evacuations != 0) state = core::CombineHashes(state, evacuations);
+  if (this->stored_policy_version < this->router.policy->version) {
+    state = core::CombineHashes(state, this->stored_policy_version);
+  }
+  return state;
+}
+
+bool StoreSync::StoreHoldsPolicy() const {
+  if (this->stored_policy_version >= this->router.policy->version) return true;
+  return this->router.clock.now() - this->epoch_began >= kOperatorRewriteTime;
+}
+
+bool StoreSync::ApplyPolicyRow(const adapter::StoreRow& row) {
+  auto policy = adapter::DecodePolicy(row.value);
+  if (!policy) {
+    this->router.log.Write(LogLevel::kError, "policy_malformed",
+                           {{"error", policy.error().message}});
+    return false;
+  }
+  const auto version = policy.value()->version;
+  const auto known = this->router.policy ? this->router.policy->version : 0;
+  const auto hash = core::HashName(row.value);
+  this->stored_policy_version = version;
+  // A version whose write was lost may be given out again, with another content.
+  const bool is_known = version == known && hash == this->policy_document_hash;
+  if (this->router.policy && (version < known || is_known)) {
+    if (version < known) {
+      this->router.log.Write(LogLevel::kWarning, "policy_older_in_store",
+                             {{"version", version}, {"in_force", std::uint64_t{known}}});
+    }
+    return true;
+  }
+  this->policy_document_hash = hash;
+  this->router.policy = std::move(policy.value());
+  this->router.log.Write(LogLevel::kInfo, "policy_in_force",
+                         {{"version", version},
+                          {"previous", std::uint64_t{known}},
+                          {"store_version", row.version},
+                          {"routes", std::uint64_t{this->router.policy->routes.size()}}});
+  this->on_policy();
+  return true;
+}
+
+void StoreSync::ConfirmPolicy(core::Duration at, std::string_view source) {
+  if (at <= this->router.policy_confirmed_at || !this->StoreHoldsPolicy()) return;
+  this->router.policy_confirmed_at = at;
+  this->router.policy_confirmed_by = source;
 }
 
 void StoreSync::ApplyPolicy(const adapter::StoreRows& rows, bool whole, core::Duration asked_at) {
@@ -230,26 +291,14 @@
   for (const auto& row : rows.rows) {
     if (row.key != adapter::kConfigurationKey || row.removed) continue;
     found = true;
-    auto policy = adapter::DecodePolicy(row.value);
-    if (!policy) {
-      this->router.log.Write(LogLevel::kError, "policy_malformed",
-                             {{"error", policy.error().message}});
-      return;
-    }
-    const auto known = this->router.policy ? this->router.policy->version : 0;
-    if (this->router.policy && policy.value()->version <= known) continue;
-    this->router.policy = std::move(policy.value());
-    this->router.log.Write(LogLevel::kInfo, "policy_in_force",
-                           {{"version", this->router.policy->version},
-                            {"previous", std::uint64_t{known}},
-                            {"routes", std::uint64_t{this->router.policy->routes.size()}}});
-    this->on_policy();
+    if (!this->ApplyPolicyRow(row)) return;
   }
   // Without a known configuration, or if the whole table was read and lacks the row, nothing is
   // confirmed.
   if (!this->router.policy || (!found && whole)) return;
+  this->router.policy_position = {rows.epoch, rows.version};
   this->SetProof(this->policy_watch, this->PolicyState(), asked_at);
-  this->router.policy_confirmed_at = std::max(this->router.policy_confirmed_at, asked_at);
+  this->ConfirmPolicy(asked_at, "store");
 }
 
 dispatch::RunnerChange StoreSync::DecodeRunnerRow(const adapter::StoreRow& row) {
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -55,6 +55,9 @@
         : table(table_name), timer(io) {}
 
     std::string table;
+    /// From where the next query reads on. Absent before the first answer and if the table must be
+    /// read whole.
+    std::optional<dispatch::StorePosition> position;
     dispatch::PollSchedule schedule;
     /// True if proofs of other routers can replace this router's own queries of the table.
     bool relayed = false;
@@ -73,6 +76,17 @@
     std::optional<core::TimePoint> outdated_since;
     /// Time that other routers have to send a reported change before this one queries the store.
     core::Duration relay_timeout{};
+    /// When to read the table whole after the store has come back from an older copy; unset if it
+    /// has been read since.
+    std::optional<core::TimePoint> reread_due;
+    /// The reported state that made this router query the store last, and the time since boot at
+    /// which it was reported.
+    std::uint64_t outdating_state = 0;
+    core::Duration outdated_at{};
+    /// That state, if the store's answer did not show it.
+    std::optional<std::uint64_t> disputed_state;
+    /// When the store answered last.
+    core::TimePoint answered_at{};
     /// Expires when it has to be checked whether a query of the store is due.
     boost::asio::steady_timer timer;
     /// Local time at which the store answered again after a failure.
@@ -85,10 +99,21 @@
     bool was_poller = false;
   };
 
-  /// Queries the store: for the whole table, or for changes after `version`.
-  boost::asio::awaitable<core::Result<adapter::StoreRows>> QueryStore(const TableWatch& watch,
-                                                                      bool whole,
-                                                                      std::uint64_t version);
+  /// Queries the store: for changes after `position`, or without one for the whole table.
+  boost::asio::awaitable<core::Result<adapter::StoreRows>> QueryStore(
+      const TableWatch& watch, std::optional<dispatch::StorePosition> position);
+  /// True if the table has been read in the current epoch of the store.
+  bool IsReadInEpoch(const TableWatch& watch) const;
+  /// Records and applies an answer to a query from `position`. Returns false if the answer is of
+  /// another epoch than the position, so that the table must be read whole.
+  bool ApplyAnswer(TableWatch& watch, std::optional<dispatch::StorePosition> position,
+                   const adapter::StoreRows& rows, core::Duration asked_at);
+  /// Records that the store has come back from an older copy. `header` is how it said so.
+  void OnEpoch(dispatch::StoreEpoch before, std::string_view header);
+  /// Reads the rows of the routers while the query of their watch may still be held by the store.
+  boost::asio::awaitable<void> RereadRouters();
+  /// Records that the entries of runners may be missing for a moment.
+  void RecordReturn(TableWatch& watch);
   /// Keeps one table up to date until the process ends.
   boost::asio::awaitable<void> WatchTable(TableWatch& watch);
   boost::asio::awaitable<void> WaitUntilDue(TableWatch& watch);
@@ -117,6 +142,15 @@
                                 const std::string& sender);
   /// State of the operator's table in its proof.
   std::uint64_t PolicyState() const;
+  /// False while the store, after its return from an older copy, still lacks the configuration in
+  /// force: there may be a newer one that it lacks too.
+  bool StoreHoldsPolicy() const;
+  /// Takes over a configuration that the store holds, unless it is known or older. Returns false
+  /// if it cannot be decoded.
+  bool ApplyPolicyRow(const adapter::StoreRow& row);
+  /// Records that the configuration in force was the newest at a time since boot. `source` is
+  /// "store" or the name of the router that proved it.
+  void ConfirmPolicy(core::Duration at, std::string_view source);
   void ApplyPolicy(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   void ApplyRunners(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   dispatch::RunnerChange DecodeRunnerRow(const adapter::StoreRow& row);
@@ -147,7 +181,13 @@
   TableWatch policy_watch;
   TableWatch runner_watch;
   TableWatch router_watch;
+  /// Of the current epoch only.
   dispatch::RemoteClock store_clock;
+  /// When the current epoch was first seen; zero if it is the first one.
+  core::TimePoint epoch_began{};
+  /// Version and hash of the configuration that the store held when it was read last.
+  std::uint64_t stored_policy_version = 0;
+  std::uint64_t policy_document_hash = 0;
   /// The entries of runners as the store lists them. A runner whose entry lapsed during an outage
   /// is missing here while `router` still has it.
   dispatch::RunnerDirectory directory;
--- a/tests/libraries/dispatch/table_proof_test.cc
+++ b/tests/libraries/dispatch/table_proof_test.cc
@@ -55,6 +55,20 @@
   EXPECT_EQ(CompareProofs(own, std::nullopt), ProofEffect::kNone);
 }
 
+// Guards against a proof that confirms content across a return of the store from an older copy:
+// times and states before and after it cannot be compared.
+TEST(CompareProofsTest, ALaterEpochOutdatesAndAnEarlierOneHasNoEffect) {
+  const TableProof own = {7, seconds(5), 2};
+  EXPECT_EQ(CompareProofs(own, TableProof{7, seconds(6), 2}), ProofEffect::kConfirms);
+  EXPECT_EQ(CompareProofs(own, TableProof{7, seconds(6), 3}), ProofEffect::kOutdates);
+  EXPECT_EQ(CompareProofs(own, TableProof{7, seconds(1), 3}), ProofEffect::kOutdates);
+  EXPECT_EQ(CompareProofs(own, TableProof{7, seconds(6), 1}), ProofEffect::kNone);
+  EXPECT_EQ(CompareProofs(own, TableProof{8, seconds(6), 1}), ProofEffect::kNone);
+  EXPECT_EQ(CompareProofs(own, TableProof{7, seconds(6), std::nullopt}), ProofEffect::kNone);
+  const TableProof unknown = {7, seconds(5), std::nullopt};
+  EXPECT_EQ(CompareProofs(unknown, TableProof{7, seconds(6), 2}), ProofEffect::kNone);
+}
+
 // After the first router has died, the others must not all poll at once, and the last of them must
 // not poll too late.
 TEST(PollAgeTest, GrowsWithTheRankUpToABound) {
--- a/tests/services/peer_message_test.cc
+++ b/tests/services/peer_message_test.cc
@@ -106,7 +106,7 @@
     rows.push_back({std::to_string(row) + std::string(dispatch::kMaxDomainNameBytes - 2, 'x')});
   }
   auto report = Report();
-  report.evacuations = dispatch::AfterRows({}, rows, true, 1'000'000);
+  report.evacuations = dispatch::AfterRows({}, rows, true, {1, 1'000'000});
   for (std::uint64_t key = 0; key < 120; ++key) {
     report.runners[~key] = {.prefill_tokens = 1e6, .active = 100.0, .memory_tokens = 1e6};
     report.cold_runners.push_back({{~key, 1'700'000'000'000}, dispatch::kLongestColdTime});
@@ -133,6 +133,26 @@
   EXPECT_EQ(verified.value().directory->at, std::chrono::milliseconds(-1));
 }
 
+// Guards against proofs and evacuations that are compared across a return of the store from an
+// older copy because their epoch got lost on the way.
+TEST(PeerMessageTest, CarriesTheEpochOfTheStore) {
+  auto report = Report();
+  report.policy = dispatch::TableProof{5, std::chrono::milliseconds(7), 0};
+  report.directory = dispatch::TableProof{6, std::chrono::milliseconds(8), ~0ULL};
+  report.evacuations = dispatch::Evacuations{.position = {3, 40}};
+  auto verified = DecodeSignedReport(EncodeSignedReport(report, Key()), Key());
+  ASSERT_TRUE(verified.has_value());
+  EXPECT_EQ(verified.value().policy->epoch, 0U);
+  EXPECT_EQ(verified.value().directory->epoch, ~0ULL);
+  EXPECT_EQ(verified.value().evacuations->position, (dispatch::StorePosition{3, 40}));
+  report.policy->epoch.reset();
+  report.evacuations->position.epoch.reset();
+  verified = DecodeSignedReport(EncodeSignedReport(report, Key()), Key());
+  ASSERT_TRUE(verified.has_value());
+  EXPECT_EQ(verified.value().policy->epoch, std::nullopt);
+  EXPECT_EQ(verified.value().evacuations->position.epoch, std::nullopt);
+}
+
 // Guards against a removed entry that is decoded as an existing one, or the other way round.
 TEST(PeerMessageTest, CarriesStepsOfTheDirectory) {
   auto report = Report();
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -48,11 +48,18 @@
     `ENDLESS_RESPONSES`, which sends bytes until the connection is closed.
     `write_mode` concerns writes only, while reads are served: "ok", "lost" (a write is applied, but the
     connection is closed without a response) or an HTTP error status, with which nothing is written.
+
+    The store may come back from a copy (`copy`, `return_from`): what was written since is lost, versions are
+    given out again, and `era`, which is in the header of each response, rises by one.
     """
 
     def __init__(self):
         self.rows = {}
         self.version = 1
+        # Value of the header Store-Era, or None to send none.
+        self.era = 1
+        # Added to the steady clock of the responses, in milliseconds.
+        self.clock_offset_ms = 0
         self.mode = "ok"
         self.write_mode = "ok"
         # Key of the row and status of the response of each write that arrived while `mode` was "ok", in order.
@@ -70,6 +77,23 @@
     def remove(self, table, key):
         self.put(table, key, None)
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def return_from(self, copy):
+        """Replaces the content by the copy and begins the next era. Calls in progress get no response."""
+        rows, self.version = copy
+        self.rows = dict(rows)
+        self.era += 1
+        self.changed.set()
+        self.changed.clear()
+
+    def now_ms(self):
+        return int(time.monotonic() * 1e3) + self.clock_offset_ms
+
+    def respond(self, status, body=b""):
+        return response(status, body, [("Store-Era", self.era)] if self.era is not None else [])
+
     def row(self, table, key):
         value, version = self.rows[(table, key)]
         entry = {"table": table, "part": "", "key": key, "ver": version}
@@ -84,7 +108,7 @@
             if t == table and (version > after if after is not None else value is not None)
         ]
         return json.dumps(
-            {"rows": rows, "has-more": False, "ver": self.version, "now-ms": int(time.monotonic() * 1e3)}
+            {"rows": rows, "has-more": False, "ver": self.version, "now-ms": self.now_ms()}
         ).encode()
 
     async def serve(self, reader, writer):
@@ -100,11 +124,16 @@
                 except ConnectionError:
                     break
             if self.mode != "ok":
-                writer.write(response(self.mode))
+                writer.write(self.respond(self.mode))
                 continue
+            era = self.era
             answer = await self.handle(message)
             if answer is None:
                 break
+            if era != self.era or self.mode == "silent":
+                # Nothing further is delivered on a connection on which a response was lost.
+                await reader.read()
+                break
             writer.write(answer)
         writer.close()
 
@@ -115,10 +144,10 @@
         if url.path.endswith("rows-tx"):
             return self.write(json.loads(body))
         if url.path.endswith("rows-get"):
-            return response(200, self.answer(query["table"]))
+            return self.respond(200, self.answer(query["table"]))
         after = int(query["after-rev"])
-        if after < self.oldest_version:
-            return response(410)
+        if after < self.oldest_version or after > self.version:
+            return self.respond(410)
         end = time.monotonic() + int(query["wait-ms"]) / 1e3
         while time.monotonic() < end and self.mode == "ok":
             if any(t == query["table"] and v > after for (t, _), (_, v) in self.rows.items()):
@@ -128,13 +157,13 @@
             except asyncio.TimeoutError:
                 pass
         if after < self.oldest_version:
-            return response(410)
-        return response(200, self.answer(query["table"], after))
+            return self.respond(410)
+        return self.respond(200, self.answer(query["table"], after))
 
     def write(self, call):
         """Returns the response to a write, or None if it is lost."""
         refused = isinstance(self.write_mode, int)
-        answer = response(self.write_mode) if refused else self.transact(call)
+        answer = self.respond(self.write_mode) if refused else self.transact(call)
         status = int(answer.split()[1])
         self.writes += [(row["key"], status) for row in call["set-keys"] + call["remove"]]
         return None if self.write_mode == "lost" else answer
@@ -143,12 +172,12 @@
         for condition in call["expected-rev"]:
             known = self.rows.get((condition["table"], condition["key"]), (None, 0))
             if condition["ver"] != (known[1] if known[0] is not None else 0):
-                return response(412, json.dumps({"rows": []}).encode())
+                return self.respond(412, json.dumps({"rows": []}).encode())
         for row in call["set-keys"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in call["remove"]:
             self.remove(row["table"], row["key"])
-        return response(200, json.dumps({"ver": self.version, "now-ms": 1}).encode())
+        return self.respond(200, json.dumps({"ver": self.version, "now-ms": self.now_ms()}).encode())
 
 
 # Responses that never end, by fault name: the bytes sent once and the bytes then repeated. `{known}` is
--- /dev/null
+++ b/tests/system/test_store_return.py
@@ -0,0 +1,106 @@
+"""The store comes back from an older copy, with real routers against the platform stand-in."""
+
+import os
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from platform_router import CONFIGURATION_LIMIT, KEY, REVOCATION_LIMIT, Router, until  # noqa: E402
+from table_platform import Platform  # noqa: E402
+
+REVOKED_KEY = "key-2"
+DOMAINS = ("a", "b", "c")
+AWAY_SECONDS = 0.5
+COPY_AGE_SECONDS = 2.0
+ADDED_ROUTE = {
+    "name": "added", "prefix": "/added/", "route-kind": "idempotent", "timeout-ms": 1000,
+    "service": "desk", "max-attempts": 2,
+}
+
+
+class StoreReturnTest(unittest.TestCase):
+    """Three routers in as many failure domains, and a plain service."""
+
+    def setUp(self):
+        self.platform = Platform()
+        self.store = self.platform.store
+        self.platform.configure(3, [KEY, REVOKED_KEY])
+        self.runners = [self.platform.add_runner(f"i-{domain}", "desk", domain) for domain in DOMAINS]
+        self.routers = []
+        for number, domain in enumerate(DOMAINS, 1):
+            router = Router(self.platform.store_port, f"127.0.0.{number}", domain)
+            self.addCleanup(router.end)
+            self.routers.append(router)
+        for router in self.routers:
+            self.assertTrue(until(router.is_ready, 5))
+        # By then the routers know each other.
+        time.sleep(3)
+        self.count = 0
+
+    def send(self, router, path="/l/1", key=KEY):
+        self.count += 1
+        return router.send(f"attempt-{self.count}", path, "GET", key=key)[0]
+
+    def beat(self, runners=None):
+        """Writes the entries of the runners again."""
+        for runner in runners or self.runners:
+            self.platform.put("servers", runner.identifier, runner.entry())
+
+    def call(self, function):
+        async def run():
+            return function()
+
+        return self.platform.call(run())
+
+    def beat_for(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.beat()
+            time.sleep(0.3)
+
+    def play_return(self, mode, configuration_version=3, clock_offset_ms=0):
+        """The store leaves, comes back from a copy, and gets what the operator had written again."""
+        copy = self.call(self.store.copy)
+        self.beat_for(COPY_AGE_SECONDS - 0.7)
+        if configuration_version > 3:
+            self.platform.configure(configuration_version, [KEY, REVOKED_KEY])
+        self.beat_for(0.7)
+        self.store.mode = mode
+        time.sleep(AWAY_SECONDS)
+        self.store.clock_offset_ms += clock_offset_ms
+        self.call(lambda: self.store.return_from(copy))
+        self.store.mode = "ok"
+        self.platform.configure(configuration_version, [KEY, REVOKED_KEY])
+
+    def check_change_after_return(self, version):
+        """Withdraws a key and adds a route; both must be in force at each router in time."""
+        self.platform.configure(version, [KEY], [ADDED_ROUTE])
+        changed = time.monotonic()
+        # The versions of the store pass those that were lost before each router has read again.
+        for _ in range(8):
+            self.beat()
+        time.sleep(max(changed + CONFIGURATION_LIMIT - time.monotonic(), 0))
+        self.assertEqual([self.send(router, "/added/1") for router in self.routers], [200] * 3)
+        time.sleep(max(changed + REVOCATION_LIMIT - time.monotonic(), 0))
+        for _ in range(3):
+            self.assertEqual([self.send(router, key=REVOKED_KEY) for router in self.routers], [401] * 3)
+            self.assertEqual([self.send(router) for router in self.routers], [200] * 3)
+            time.sleep(0.5)
+
+    # Guards against a change of the configuration that is never in force, because the routers read on from a
+    # version that the store has given out again.
+    def test_a_change_right_after_the_return_is_in_force(self):
+        version = 3
+        for mode, clock_offset_ms in (("silent", 0), ("reset", 0), (503, -3_600_000), ("silent", 3_600_000)):
+            with self.subTest(mode=mode, clock_offset_ms=clock_offset_ms):
+                self.platform.configure(version, [KEY, REVOKED_KEY])
+                time.sleep(3)
+                self.play_return(mode, version + 1, clock_offset_ms)
+                version += 2
+                self.check_change_after_return(version)
+                version += 1
+
+
+if __name__ == "__main__":
+    unittest.main()
