Evacuations: Keep what the store lacks after its return from an older copy

Cause: a whole read that lacks the row ends the evacuation, also if the store only lost it.

Change: an evacuation that is missing in a later epoch is kept for 10 s, apart from the evacuations that the store lists, so that states and reports of the routers stay comparable. It ends at once if the operator withdraws it.

--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -214,6 +214,7 @@
 void Edge::Tick() {
   ++this->ticks;
   this->sync->RemoveLapsedRunners();
+  EndLapsedEvacuations(this->state);
   if (this->ticks % kTicksPerSettingsCheck == 0) this->sync->RemoveSilentRouters();
   // A surge must be limited at once; an existing level follows the demand of some seconds.
   const bool is_limited = !std::isinf(this->state.share_level);
--- a/services/pomelospar_edge/placement_decision.cc
+++ b/services/pomelospar_edge/placement_decision.cc
@@ -138,7 +138,7 @@
 }
 
 bool AllRunnersEvacuated(const RouterState& state, const dispatch::UpstreamPolicy& upstream) {
-  if (state.evacuations.domains.empty()) return false;
+  if (state.evacuations.domains.empty() && state.kept_evacuations.domains.empty()) return false;
   const auto runners = RunnersOf(state, upstream);
   return !runners.empty() && std::all_of(runners.begin(), runners.end(), [&](const auto& runner) {
     return IsEvacuated(state, *runner);
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -45,6 +45,30 @@
                    {"requests", CountRequestsIn(state, domain)}});
 }
 
+void EndEvacuation(RouterState& state, const std::string& domain, std::string_view source) {
+  LogEvacuation(state, domain, "ended", source);
+  for (const auto& [id, runner] : state.runners) {
+    if (runner->record.domain != domain) continue;
+    const auto* upstream = FindUpstream(state, *runner);
+    if (upstream == nullptr) continue;
+    // Only what was read from the store is told to the other routers, so that a late report does
+    // not extend the time.
+    if (source == "store") {
+      ObserveCold(state, *runner, "evacuation_ended");
+    } else {
+      TellCold(state, *runner, upstream->cold_start, "evacuation_ended");
+    }
+  }
+}
+
+void SetEvacuatedDomainsGauge(RouterState& state) {
+  const auto count = state.evacuations.domains.size() + state.kept_evacuations.domains.size();
+  state.metrics
+      .FindGauge("pomelospar_evacuated_domains", "Failure domains that the operator has evacuated.",
+                 {})
+      .Set(static_cast<double>(count));
+}
+
 // False if the capacity meets all demands, or if there is no level yet.
 bool IsShareLimited(const RouterState& state) {
   return state.share_level > 0.0 && !std::isinf(state.share_level);
@@ -74,7 +98,9 @@
 }
 
 bool IsEvacuated(const RouterState& state, const Runner& runner) {
-  return state.evacuations.domains.contains(runner.record.domain);
+  const auto& domain = runner.record.domain;
+  return state.evacuations.domains.contains(domain) ||
+         state.kept_evacuations.domains.contains(domain);
 }
 
 bool AcceptsNewRequests(const RouterState& state, const Runner& runner) {
@@ -112,29 +138,39 @@
                       std::string_view source) {
   if (!dispatch::IsNewer(read, state.evacuations)) return;
   const auto before = std::exchange(state.evacuations, read);
+  auto& kept = state.kept_evacuations;
   for (const auto& domain : read.domains) {
-    if (!before.domains.contains(domain)) LogEvacuation(state, domain, "in_force", source);
+    const bool was_kept = kept.domains.erase(domain) > 0;
+    if (!before.domains.contains(domain) && !was_kept) {
+      LogEvacuation(state, domain, "in_force", source);
+    }
   }
+  const bool is_return = before.position.epoch && read.position.epoch > before.position.epoch;
   for (const auto& domain : before.domains) {
     if (read.domains.contains(domain)) continue;
-    LogEvacuation(state, domain, "ended", source);
-    for (const auto& [id, runner] : state.runners) {
-      if (runner->record.domain != domain) continue;
-      const auto* upstream = FindUpstream(state, *runner);
-      if (upstream == nullptr) continue;
-      // Only what was read from the store is told to the other routers, so that a late report does
-      // not extend the time.
-      if (source == "store") {
-        ObserveCold(state, *runner, "evacuation_ended");
-      } else {
-        TellCold(state, *runner, upstream->cold_start, "evacuation_ended");
-      }
+    if (is_return) {
+      kept.domains.insert(domain);
+      kept.until = state.clock.now() + kOperatorRewriteTime;
+      LogEvacuation(state, domain, "kept", source);
+    } else {
+      EndEvacuation(state, domain, source);
     }
   }
-  state.metrics
-      .FindGauge("pomelospar_evacuated_domains", "Failure domains that the operator has evacuated.",
-                 {})
-      .Set(static_cast<double>(read.domains.size()));
+  SetEvacuatedDomainsGauge(state);
+}
+
+void EndKeptEvacuation(RouterState& state, const std::string& domain) {
+  if (state.kept_evacuations.domains.erase(domain) == 0) return;
+  EndEvacuation(state, domain, "store");
+  SetEvacuatedDomainsGauge(state);
+}
+
+void EndLapsedEvacuations(RouterState& state) {
+  auto& kept = state.kept_evacuations;
+  if (kept.domains.empty() || state.clock.now() < kept.until) return;
+  const auto lapsed = std::exchange(kept.domains, {});
+  for (const auto& domain : lapsed) EndEvacuation(state, domain, "not_written_again");
+  SetEvacuatedDomainsGauge(state);
 }
 
 void MarkLeaving(RouterState& state, Runner& runner, std::string_view source) {
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -100,6 +101,12 @@
 /// For this time, what it is known to have written is taken as still in force.
 inline constexpr core::Duration kOperatorRewriteTime = std::chrono::seconds(10);
 
+/// Evacuations that the store lacks since it has come back from an older copy.
+struct KeptEvacuations {
+  std::set<std::string, std::less<>> domains;
+  core::TimePoint until{};
+};
+
 /// Requests of one upstream that leave this router's failure domain.
 struct DomainLeaving {
   dispatch::LeavingShare share;
@@ -128,6 +135,7 @@
   std::shared_ptr<const dispatch::Policy> policy;
   /// Failure domains that the operator has evacuated, as far as this router or another one knows.
   dispatch::Evacuations evacuations;
+  KeptEvacuations kept_evacuations;
   /// Latest time since boot at which `policy` was known to be the newest configuration.
   core::Duration policy_confirmed_at{};
   /// Who showed that: "store", or the name of another router.
@@ -243,10 +251,16 @@
 /// Replaces the evacuations if `read` is newer. When an evacuation ends, the runners of its domain
 /// count as cold, because they had no work and may have been restarted. `source` is "store" or the
 /// name of the router that told it; what was read from the store is told to the others, so that
-/// routers that start shortly after it know it too.
+/// routers that start shortly after it know it too. An evacuation that is missing because the store
+/// has come back from an older copy is kept for `kOperatorRewriteTime`.
 void AdoptEvacuations(RouterState& state, const dispatch::Evacuations& read,
                       std::string_view source);
 
+/// Ends an evacuation that was kept if the operator has withdrawn it since.
+void EndKeptEvacuation(RouterState& state, const std::string& domain);
+/// Ends the evacuations that were kept and not written again in time. Call a few times a second.
+void EndLapsedEvacuations(RouterState& state);
+
 /// Records that the runner leaves. `source` is "response" or the name of the router that told it.
 void MarkLeaving(RouterState& state, Runner& runner, std::string_view source);
 
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -224,6 +224,9 @@
   for (const auto& row : rows.rows) {
     add(row.key, row.removed);
   }
+  for (const auto& evacuation : evacuations) {
+    if (evacuation.removed) EndKeptEvacuation(this->router, evacuation.domain);
+  }
   // The presence of the row requests the evacuation, whatever its value is.
   for (const auto& key : rows.unreadable_keys) add(key, false);
   const auto known = this->router.evacuations;
--- a/tests/system/test_store_return.py
+++ b/tests/system/test_store_return.py
@@ -6,13 +6,16 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import CONFIGURATION_LIMIT, KEY, REVOCATION_LIMIT, Router, until  # noqa: E402
+from platform_router import (  # noqa: E402
+    CONFIGURATION_LIMIT, KEY, REVOCATION_LIMIT, Router, check_no_new_work, until)
 from table_platform import Platform  # noqa: E402
 
 REVOKED_KEY = "key-2"
 DOMAINS = ("a", "b", "c")
 AWAY_SECONDS = 0.5
 COPY_AGE_SECONDS = 2.0
+# Limit that the users require, in seconds.
+EVACUATION_LIMIT = 5.0
 ADDED_ROUTE = {
     "name": "added", "prefix": "/added/", "route-kind": "idempotent", "timeout-ms": 1000,
     "service": "desk", "max-attempts": 2,
@@ -59,6 +62,12 @@
             self.beat()
             time.sleep(0.3)
 
+    def leave_and_return(self, copy, mode="silent"):
+        self.store.mode = mode
+        time.sleep(AWAY_SECONDS)
+        self.call(lambda: self.store.return_from(copy))
+        self.store.mode = "ok"
+
     def play_return(self, mode, configuration_version=3, clock_offset_ms=0):
         """The store leaves, comes back from a copy, and gets what the operator had written again."""
         copy = self.call(self.store.copy)
@@ -66,11 +75,8 @@
         if configuration_version > 3:
             self.platform.configure(configuration_version, [KEY, REVOKED_KEY])
         self.beat_for(0.7)
-        self.store.mode = mode
-        time.sleep(AWAY_SECONDS)
         self.store.clock_offset_ms += clock_offset_ms
-        self.call(lambda: self.store.return_from(copy))
-        self.store.mode = "ok"
+        self.leave_and_return(copy, mode)
         self.platform.configure(configuration_version, [KEY, REVOKED_KEY])
 
     def check_change_after_return(self, version):
@@ -101,6 +107,53 @@
                 self.check_change_after_return(version)
                 version += 1
 
+    # Guards against an evacuation that is never in force, because the version at which it was written after the
+    # return is lower than the one that the routers know.
+    def test_an_evacuation_before_the_old_version_is_reached_is_in_force(self):
+        copy = self.call(self.store.copy)
+        self.beat_for(COPY_AGE_SECONDS)
+        self.leave_and_return(copy)
+        self.platform.put("op", "evacuate/b", b"{}")
+        time.sleep(EVACUATION_LIMIT)
+        for router in self.routers:
+            check_no_new_work(self, self.runners[1], lambda r=router: self.send(r))
+
+    # Guards against work for an evacuated domain while the copy lacks the evacuation, and against one that goes
+    # on although the operator has withdrawn it since.
+    def test_an_evacuation_holds_until_it_is_written_again(self):
+        copy = self.call(self.store.copy)
+        self.platform.put("op", "evacuate/b", b"{}")
+        time.sleep(EVACUATION_LIMIT)
+        self.leave_and_return(copy)
+        for _ in range(6):
+            for router in self.routers:
+                check_no_new_work(self, self.runners[1], lambda r=router: self.send(r))
+            time.sleep(0.4)
+        self.platform.put("op", "evacuate/b", b"{}")
+        time.sleep(CONFIGURATION_LIMIT)
+        self.platform.remove("op", "evacuate/b")
+        served = lambda: [self.send(self.routers[1]) for _ in range(5)] and self.runners[1].requests  # noqa: E731
+        self.runners[1].requests.clear()
+        self.assertTrue(until(served, 5))
+
+    # Guards against requests that are refused because the store was away for a moment.
+    def test_requests_go_on_over_the_return(self):
+        copy = self.call(self.store.copy)
+        self.beat_for(COPY_AGE_SECONDS)
+        statuses = []
+        self.store.mode = "silent"
+        end = time.monotonic() + AWAY_SECONDS
+        while time.monotonic() < end:
+            statuses += [self.send(router) for router in self.routers]
+        self.call(lambda: self.store.return_from(copy))
+        self.store.mode = "ok"
+        end = time.monotonic() + 8
+        while time.monotonic() < end:
+            self.beat()
+            statuses += [self.send(router) for router in self.routers]
+            time.sleep(0.1)
+        self.assertEqual(statuses, [200] * len(statuses))
+
 
 if __name__ == "__main__":
     unittest.main()
