Store: Don't serve by a configuration that is older than the other routers'

Callers: a router that was restarted while the store was away took the older configuration that the store came back with. A withdrawn key ran there again and an added route was 404, until the operator had written the newer version again.

Cause: nothing tells a started router that the others have a newer version.

Change: reports carry the version in force. While the store lacks the newest reported version, as an answer to a later call shows, the router refuses with 503, is not ready and confirms nothing. After 10 s the version counts as lost.

Evidence: test_a_router_that_starts_in_the_older_copy_does_not_serve_by_it failed before (the withdrawn key: 200, 503 expected) and passes. test_a_lost_configuration_that_is_not_written_again_is_given_up bounds the refusal; it passed before too. Limit: until the first report has arrived, the router serves by what it read.

--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -70,7 +70,9 @@
   std::vector<ColdRunner> cold_runners;
   /// Absent until the sender has read the operator's table.
   std::optional<Evacuations> evacuations;
-  /// Versions of the configuration and of the runner directory that the sender holds.
+  /// Version of the configuration in force at the sender; 0 if there is none.
+  std::uint64_t policy_version = 0;
+  /// Contents of the operator's table and of the runner directory that the sender holds.
   std::optional<TableProof> policy;
   std::optional<TableProof> directory;
   /// Recent changes of the directory that led to the sender's content, oldest first.
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -338,6 +338,7 @@
 
 bool Edge::IsReady() const {
   if (this->state.stop || !this->state.policy || !this->state.runners_loaded) return false;
+  if (this->state.policy_is_older) return false;
   if (this->state.processor.IsOverloaded(this->state.clock.now())) return false;
   if (!this->state.settings.keys_fail_closed) return true;
   const auto limit = std::chrono::duration_cast<core::Duration>(
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -250,6 +250,7 @@
   }
   report.cold_runners = DecodeColdRunners(message);
   if (message.has_evacuations()) report.evacuations = Decode(message.evacuations());
+  report.policy_version = message.policy_version();
   if (message.has_policy()) report.policy = Decode(message.policy());
   if (message.has_directory()) report.directory = Decode(message.directory());
   if (message.has_store_regained_at_ms()) {
@@ -293,6 +294,7 @@
   }
   EncodeColdRunners(report.cold_runners, message);
   if (report.evacuations) Encode(*report.evacuations, *message.mutable_evacuations());
+  message.set_policy_version(report.policy_version);
   if (report.policy) Encode(*report.policy, *message.mutable_policy());
   if (report.directory) Encode(*report.directory, *message.mutable_directory());
   if (report.store_regained_at) {
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -136,6 +136,9 @@
   /// Failure domains that the operator has evacuated, as far as this router or another one knows.
   dispatch::Evacuations evacuations;
   KeptEvacuations kept_evacuations;
+  /// True while another router has a newer configuration that the store lacks, as it may after its
+  /// return from an older copy. Nothing is served by `policy` then.
+  bool policy_is_older = false;
   /// Latest time since boot at which `policy` was known to be the newest configuration.
   core::Duration policy_confirmed_at{};
   /// Who showed that: "store", or the name of another router.
--- a/services/pomelospar_edge/store_epoch.cc
+++ b/services/pomelospar_edge/store_epoch.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "services/pomelospar_edge/store_sync.h"
 
@@ -84,6 +85,31 @@
   }
 }
 
+void StoreSync::RecordReportedPolicy(std::uint64_t version) {
+  if (version > this->reported_policy_version) {
+    this->reported_policy_version = version;
+    const auto known = this->router.policy ? this->router.policy->version : 0;
+    if (version > known) this->policy_reported_at = this->router.clock.since_boot();
+  }
+  if (this->router.policy) this->CheckReportedPolicy();
+}
+
+// A router that has just started may read an older configuration than the others, whose withdrawn
+// keys and routes must not be used again. What a report tells may have been written after the
+// store was asked last, so only a later answer shows that the store lacks it.
+void StoreSync::CheckReportedPolicy() {
+  const bool is_older =
+      this->router.policy->version<this->reported_policy_version&& this->policy_asked_at> this
+          ->policy_reported_at &&
+      !this->StoreHoldsPolicy();
+  if (is_older) this->router.policy_confirmed_at = {};
+  if (std::exchange(this->router.policy_is_older, is_older) == is_older) return;
+  this->router.log.Write(LogLevel::kWarning, "policy_older_than_reported",
+                         {{"version", this->router.policy->version},
+                          {"reported", this->reported_policy_version},
+                          {"is_older", is_older}});
+}
+
 bool StoreSync::IsReadInEpoch(const TableWatch& watch) const {
   return dispatch::ReadingPosition(watch.position, this->store.epochs()).has_value();
 }
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -91,6 +91,7 @@
   };
   this->peers.fill_report = [this](dispatch::PeerReport& report) {
     report.policy = this->policy_watch.proof;
+    report.policy_version = this->router.policy ? this->router.policy->version : 0;
     if (this->router.evacuations.position.version > 0)
       report.evacuations = this->router.evacuations;
     report.directory = this->runner_watch.proof;
@@ -247,8 +248,10 @@
 }
 
 bool StoreSync::StoreHoldsPolicy() const {
-  if (this->stored_policy_version >= this->router.policy->version) return true;
-  return this->router.clock.now() - this->epoch_began >= kOperatorRewriteTime;
+  const auto newest = std::max(this->router.policy->version, this->reported_policy_version);
+  if (this->stored_policy_version >= newest) return true;
+  return this->router.clock.now() - this->epoch_began >= kOperatorRewriteTime &&
+         this->router.clock.since_boot() - this->policy_reported_at >= kOperatorRewriteTime;
 }
 
 bool StoreSync::ApplyPolicyRow(const adapter::StoreRow& row) {
@@ -299,7 +302,9 @@
   // Without a known configuration, or if the whole table was read and lacks the row, nothing is
   // confirmed.
   if (!this->router.policy || (!found && whole)) return;
+  this->policy_asked_at = asked_at;
   this->router.policy_position = {rows.epoch, rows.version};
+  this->CheckReportedPolicy();
   this->SetProof(this->policy_watch, this->PolicyState(), asked_at);
   this->ConfirmPolicy(asked_at, "store");
 }
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -142,9 +142,13 @@
                                 const std::string& sender);
   /// State of the operator's table in its proof.
   std::uint64_t PolicyState() const;
-  /// False while the store, after its return from an older copy, still lacks the configuration in
-  /// force: there may be a newer one that it lacks too.
+  /// False while the store, after its return from an older copy, still lacks the newest known
+  /// configuration: there may be a newer one that it lacks too.
   bool StoreHoldsPolicy() const;
+  /// Records the configuration that another router has.
+  void RecordReportedPolicy(std::uint64_t version);
+  /// Updates `policy_is_older` after a report or an answer of the store.
+  void CheckReportedPolicy();
   /// Takes over a configuration that the store holds, unless it is known or older. Returns false
   /// if it cannot be decoded.
   bool ApplyPolicyRow(const adapter::StoreRow& row);
@@ -188,6 +192,12 @@
   /// Version and hash of the configuration that the store held when it was read last.
   std::uint64_t stored_policy_version = 0;
   std::uint64_t policy_document_hash = 0;
+  /// When the operator's table was asked for by the latest call that was answered, since boot.
+  core::Duration policy_asked_at{};
+  /// Newest version of the configuration that another router has reported, and when a version that
+  /// this router did not know was first reported, since boot.
+  std::uint64_t reported_policy_version = 0;
+  core::Duration policy_reported_at{};
   /// The entries of runners as the store lists them. A runner whose entry lapsed during an outage
   /// is missing here while `router` still has it.
   dispatch::RunnerDirectory directory;
--- a/tests/services/peer_message_test.cc
+++ b/tests/services/peer_message_test.cc
@@ -140,8 +140,10 @@
   report.policy = dispatch::TableProof{5, std::chrono::milliseconds(7), 0};
   report.directory = dispatch::TableProof{6, std::chrono::milliseconds(8), ~0ULL};
   report.evacuations = dispatch::Evacuations{.position = {3, 40}};
+  report.policy_version = 17;
   auto verified = DecodeSignedReport(EncodeSignedReport(report, Key()), Key());
   ASSERT_TRUE(verified.has_value());
+  EXPECT_EQ(verified.value().policy_version, 17U);
   EXPECT_EQ(verified.value().policy->epoch, 0U);
   EXPECT_EQ(verified.value().directory->epoch, ~0ULL);
   EXPECT_EQ(verified.value().evacuations->position, (dispatch::StorePosition{3, 40}));
--- a/tests/system/test_store_return.py
+++ b/tests/system/test_store_return.py
@@ -14,6 +14,8 @@
 DOMAINS = ("a", "b", "c")
 AWAY_SECONDS = 0.5
 COPY_AGE_SECONDS = 2.0
+# Time for which a router waits for what the operator writes again.
+REWRITE_SECONDS = 10.0
 # Limit that the users require, in seconds.
 EVACUATION_LIMIT = 5.0
 ADDED_ROUTE = {
@@ -136,6 +138,52 @@
         self.runners[1].requests.clear()
         self.assertTrue(until(served, 5))
 
+    # Guards against a withdrawn key that is in use again, and a route that is unknown again, at a router that
+    # starts while the store holds an older configuration than the others have.
+    def test_a_router_that_starts_in_the_older_copy_does_not_serve_by_it(self):
+        copy = self.call(self.store.copy)
+        self.platform.configure(5, [KEY], [ADDED_ROUTE])
+        time.sleep(REVOCATION_LIMIT)
+        router = self.routers[0]
+        router.process.kill()
+        router.process.wait()
+        self.leave_and_return(copy)
+        router.start()
+        self.assertTrue(until(lambda: self.policy_lines(router), 5))
+        # The others report to it in this time.
+        time.sleep(1.5)
+        self.runners[0].requests.clear()
+        for _ in range(10):
+            self.assertEqual(self.send(router, key=REVOKED_KEY), 503)
+            self.assertEqual(self.send(router, "/added/1"), 503)
+            self.assertFalse(router.is_ready())
+            time.sleep(0.2)
+        self.platform.configure(5, [KEY], [ADDED_ROUTE])
+        self.assertTrue(until(router.is_ready, CONFIGURATION_LIMIT))
+        for router in self.routers:
+            self.assertEqual(self.send(router, "/added/1"), 200)
+            self.assertEqual(self.send(router, key=REVOKED_KEY), 401)
+
+    # Guards against a router that refuses all requests for ever because a configuration that was lost is never
+    # written again.
+    def test_a_lost_configuration_that_is_not_written_again_is_given_up(self):
+        copy = self.call(self.store.copy)
+        self.platform.configure(5, [KEY])
+        time.sleep(1)
+        router = self.routers[0]
+        router.process.kill()
+        router.process.wait()
+        self.leave_and_return(copy)
+        router.start()
+        time.sleep(REWRITE_SECONDS + 3)
+        self.assertEqual([(r.is_ready(), self.send(r)) for r in self.routers], [(True, 200)] * 3)
+        # None of the other routers goes back to the older one.
+        self.assertEqual([self.send(r, key=REVOKED_KEY) for r in self.routers[1:]], [401] * 2)
+
+    def policy_lines(self, router):
+        started = max(n for n, line in enumerate(router.log_lines()) if line["message"] == "start")
+        return [line for line in router.log_lines()[started:] if line["message"] == "policy_in_force"]
+
     # Guards against requests that are refused because the store was away for a moment.
     def test_requests_go_on_over_the_return(self):
         copy = self.call(self.store.copy)
