Runners: Don't use a run that left because of an entry in an older copy

Cause: `RemoveRunner` forgot with the entry what the run had said, and an entry of the copy counted like one that was just written, also for a run that was known to drain.

A run that said that it leaves stays unused. One whose entry was removed or draining gets nothing for 5 s after the return unless its entry is written again. Changes that another router reports from a later epoch are not applied: this router reads the directory whole then.

Limit: a router that starts after the return does not know of departures.

--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -104,7 +104,8 @@
 }
 
 bool AcceptsNewRequests(const RouterState& state, const Runner& runner) {
-  return !runner.record.draining && !runner.notices.leaving && !IsEvacuated(state, runner);
+  if (runner.record.draining || runner.notices.leaving || IsEvacuated(state, runner)) return false;
+  return !runner.unconfirmed_until || state.clock.now() >= *runner.unconfirmed_until;
 }
 
 bool IsCold(const RouterState& state, const Runner& runner) {
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -20,6 +20,7 @@
 #include "libraries/dispatch/admission.h"
 #include "libraries/dispatch/cold_runners.h"
 #include "libraries/dispatch/crash_suspects.h"
+#include "libraries/dispatch/departed_runners.h"
 #include "libraries/dispatch/domain_choice.h"
 #include "libraries/dispatch/engine_model.h"
 #include "libraries/dispatch/evacuations.h"
@@ -70,6 +71,9 @@
   /// Set while the runner's entry is missing after an outage of the store: the runner is removed at
   /// this time unless its entry comes back.
   std::optional<core::TimePoint> removal_due;
+  /// Set if the store has come back from an older copy with the entry of a run that was known to
+  /// leave: it gets no new requests before this time unless the entry is written again.
+  std::optional<core::TimePoint> unconfirmed_until;
 };
 
 /// Tokens of one workspace at this router, summed over a sliding window.
@@ -175,6 +179,8 @@
   std::function<boost::asio::awaitable<bool>(std::uint64_t subject)> confirm_crash_trial;
   /// Prompt prefixes sent to engines since the last report to the routers of this failure domain.
   std::vector<dispatch::SentPrefix> recent_prefixes;
+  /// Runs whose entries have left the directory.
+  dispatch::DepartedRunners departed;
   /// True after the directory of runners has been read once.
   bool runners_loaded = false;
 
@@ -234,8 +240,8 @@
 /// Returns true if the operator has evacuated the runner's failure domain.
 bool IsEvacuated(const RouterState& state, const Runner& runner);
 
-/// Returns true if the runner neither drains nor leaves nor is evacuated, so that new requests may
-/// be sent to it.
+/// Returns true if the runner neither drains nor leaves nor is evacuated, as far as is known, so
+/// that new requests may be sent to it.
 bool AcceptsNewRequests(const RouterState& state, const Runner& runner);
 
 /// Returns true if the runner tolerates only a few requests per second, so that each needs a grant
--- a/services/pomelospar_edge/store_epoch.cc
+++ b/services/pomelospar_edge/store_epoch.cc
@@ -23,6 +23,9 @@
 // The same for the rows of the routers, which are less urgent, in a fleet of any size.
 constexpr core::Duration kRouterRereadSpread = milliseconds(2000);
 constexpr std::size_t kLongestLoggedHeader = 40;
+// Runners write their entries about once a second, and an entry that is not written three times in
+// a row is removed. After this time, the entry of a run that was known to leave is taken as true.
+constexpr core::Duration kOldEntryTime = milliseconds(5000);
 
 // -1 if the store did not tell the epoch.
 std::int64_t Loggable(dispatch::StoreEpoch epoch) {
@@ -114,6 +117,25 @@
   return dispatch::ReadingPosition(watch.position, this->store.epochs()).has_value();
 }
 
+void StoreSync::CheckOldEntry(Runner& runner, const dispatch::RunnerRecord& record) {
+  const auto now = this->router.clock.now();
+  const bool is_known = !runner.record.id.empty();
+  const auto departure =
+      is_known ? std::nullopt : dispatch::TakeDeparture(this->router.departed, record, now);
+  if (departure) runner.notices.leaving = departure->leaving;
+  if (!this->runner_watch.is_return) return;
+  const bool is_same_run = is_known && runner.record.started_unix_ms == record.started_unix_ms;
+  const bool drained = is_same_run && runner.record.draining && !record.draining;
+  if (!departure && !drained && !runner.unconfirmed_until) return;
+  runner.unconfirmed_until = now + kOldEntryTime;
+  this->router.log.Write(LogLevel::kInfo, "runner_entry_unconfirmed", {{"runner", record.id}});
+}
+
+void StoreSync::ConfirmEntry(const std::string& id) {
+  const auto found = this->router.runners.find(id);
+  if (found != this->router.runners.end()) found->second->unconfirmed_until.reset();
+}
+
 void StoreSync::RecordReturn(TableWatch& watch) {
   watch.regained_at = this->router.clock.now();
   watch.regained_stamp = this->store_clock.EarliestRemote(this->router.clock.since_boot());
--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -101,6 +101,8 @@
 
 void StoreSync::ApplyDirectoryChanges(const dispatch::PeerReport& report) {
   auto& proof = this->runner_watch.proof;
+  // The entries that an older copy of the store brings back are recognized when they are read.
+  if (report.directory && report.directory->epoch != this->store.epochs().current) return;
   // Only a report with newer content is applied: an older one, or one whose changes are all known,
   // could lead back to earlier content.
   if (dispatch::CompareProofs(proof, report.directory) != dispatch::ProofEffect::kOutdates) return;
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -168,10 +168,12 @@
   if (!dispatch::HoldsAllChangesSince(position, rows.epoch)) return false;
   this->RecordAnswer(watch, rows, asked_at);
   this->RecordQuerySuccess(watch);
-  const bool is_return = watch.position && watch.position->epoch != rows.epoch;
-  if (is_return) this->RecordReturn(watch);
+  watch.is_return = watch.read_epoch && *watch.read_epoch != rows.epoch;
+  watch.read_epoch = rows.epoch;
+  if (watch.is_return) this->RecordReturn(watch);
   watch.position = {rows.epoch, rows.version};
   watch.apply(rows, !position, asked_at);
+  watch.is_return = false;
   return true;
 }
 
@@ -342,6 +344,7 @@
   }
   for (const auto& row : rows.rows) {
     const bool is_changed = apply(this->DecodeRunnerRow(row));
+    if (!whole && !row.removed) this->ConfirmEntry(row.key);
     this->RecordEntryVersion(row, is_changed);
   }
   IndexRunners(this->router);
@@ -367,12 +370,14 @@
     this->router.runners_by_key[runner->key] = runner;
   }
   runner->removal_due.reset();
+  this->CheckOldEntry(*runner, record);
   if (known && runner->record == record) return is_new;
   const bool restarted = known && runner->record.started_unix_ms != record.started_unix_ms;
   if (restarted) {
     runner->prefixes.Clear();
     runner->health = {};
     runner->notices = {};
+    runner->unconfirmed_until.reset();
   }
   if (known && runner->record.address != record.address) {
     this->pool.Forget(runner->record.address);
@@ -435,7 +440,13 @@
   const auto found = this->router.runners.find(id);
   if (found == this->router.runners.end()) return;
   this->router.log.Write(LogLevel::kInfo, "runner_removed", {{"runner", id}, {"reason", reason}});
-  found->second->record.draining = true;
+  auto& runner = *found->second;
+  const bool may_have_lapsed = runner.removal_due && !runner.unconfirmed_until;
+  if (!may_have_lapsed || runner.notices.leaving) {
+    dispatch::RecordDeparture(this->router.departed, runner.record, runner.notices.leaving,
+                              this->router.clock.now());
+  }
+  runner.record.draining = true;
   this->pool.Forget(found->second->record.address);
   this->router.runners_by_key.erase(found->second->key);
   this->router.runners.erase(found);
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -58,6 +58,8 @@
     /// From where the next query reads on. Absent before the first answer and if the table must be
     /// read whole.
     std::optional<dispatch::StorePosition> position;
+    /// Epoch of the latest answer; absent before the first one.
+    std::optional<dispatch::StoreEpoch> read_epoch;
     dispatch::PollSchedule schedule;
     /// True if proofs of other routers can replace this router's own queries of the table.
     bool relayed = false;
@@ -94,6 +96,8 @@
     /// The same time as `regained_at`, by the store's steady clock.
     std::optional<core::Duration> regained_stamp;
     bool failing = false;
+    /// True while the first answer of a later epoch is applied.
+    bool is_return = false;
     /// True if this router queried for the others when it read the table last and has done so
     /// since.
     bool was_poller = false;
@@ -159,6 +163,11 @@
   void ApplyRunners(const adapter::StoreRows& rows, bool whole, core::Duration asked_at);
   dispatch::RunnerChange DecodeRunnerRow(const adapter::StoreRow& row);
   bool ApplyRunner(const dispatch::RunnerChange& change, std::string_view source);
+  /// Keeps a run that was known to leave from being used because of an entry of the store's copy.
+  /// Call before the runner takes over the entry `record`.
+  void CheckOldEntry(Runner& runner, const dispatch::RunnerRecord& record);
+  /// Records that a runner's entry was written in the current epoch.
+  void ConfirmEntry(const std::string& id);
   /// Applies the reported changes of the runner directory that follow on this router's content.
   void ApplyDirectoryChanges(const dispatch::PeerReport& report);
   /// Removes a runner from the router state. Call `IndexRunners` after the last removal.
