--- a/services/pomelospar_edge/peer_exchange.h
+++ b/services/pomelospar_edge/peer_exchange.h
@@ -87,6 +87,8 @@
   /// Number of these routers that have reported lately, with this one.
   std::size_t LiveInDomain() const;
   bool has_key() const { return this->key.has_value(); }
+  /// The secret of the key; empty without a key.
+  const std::string& secret() const { return this->key_secret; }
   bool has_peers() const { return !this->addresses.empty(); }
   /// Sets the secret of the key that authenticates reports. The key before it is still accepted
   /// from others. A secret that is not usable is logged and changes nothing.
--- a/services/pomelospar_edge/store_registration.cc
+++ b/services/pomelospar_edge/store_registration.cc
@@ -85,8 +85,8 @@
     this->router_watch.pause =
         std::clamp(this->router_watch.pause * 2, kFirstRouterPause, kLongestRouterPause);
   }
-  // Routers that have a key keep using it after its row was removed. The next router that starts
-  // proposes another one.
+  // Routers that have a key keep using it after its row was removed, and write it again when they
+  // read the whole table next. A router that starts before that proposes another one.
   const bool is_needed = whole || (key_removed && !this->peers.has_key());
   if (is_needed && !this->key_is_stored && !this->is_proposing_key) {
     this->is_proposing_key = true;
@@ -144,9 +144,11 @@
 
 asio::awaitable<void> StoreSync::ProposeKey() {
   asio::steady_timer timer(this->router.io);
+  // The key in use stays valid for routers that cannot read a new one from the store.
+  const auto& secret = this->peers.secret();
   const adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
                                            .key = std::string(kKeyRow),
-                                           .value = RandomKey(),
+                                           .value = secret.empty() ? RandomKey() : secret,
                                            .expected_version = 0};
   while (!this->router.stop && !this->key_is_stored) {
     const auto written = co_await this->store.Write(write, kStoreCallTimeout);
--- a/tests/system/store_return.py
+++ b/tests/system/store_return.py
@@ -20,6 +20,8 @@
         self.store = self.platform.store
         self.platform.configure(3, [KEY, REVOKED_KEY])
         self.runners = [self.platform.add_runner(f"i-{domain}", "desk", domain) for domain in DOMAINS]
+        # Without the rows of the routers.
+        self.first_copy = self.call(self.store.copy)
         self.routers = []
         for number, domain in enumerate(DOMAINS, 1):
             router = Router(self.platform.store_port, f"127.0.0.{number}", domain)
--- /dev/null
+++ b/tests/system/test_store_return_routers.py
@@ -0,0 +1,52 @@
+"""The routers' own rows over a return of the store from an older copy."""
+
+import os
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from platform_router import until  # noqa: E402
+from store_return import StoreReturnTestCase  # noqa: E402
+
+TABLE = "pomelospar"
+
+
+class RoutersAfterReturnTest(StoreReturnTestCase):
+    """The copy lacks what the routers wrote."""
+
+    def value(self, key):
+        return self.store.rows.get((TABLE, key), (None, 0))[0]
+
+    # Guards against rows and a key of reports that are missing for long after the store has lost them, which are
+    # written by several routers or replaced by others, or which each return costs many calls.
+    def test_rows_and_key_are_written_again_once(self):
+        keys = ["key"] + [f"router/{router.ip}" for router in self.routers]
+        before = {key: self.value(key) for key in keys}
+        self.assertNotIn(None, before.values())
+        self.leave_and_return(self.first_copy)
+        self.assertIsNone(self.value("key"))
+        self.store.writes.clear()
+        calls = self.store.calls
+        self.assertTrue(until(lambda: None not in map(self.value, keys), 4))
+        time.sleep(3)
+        self.assertEqual({key: self.value(key) for key in keys}, before)
+        stored = sorted(key for key, status in self.store.writes if status == 200)
+        self.assertEqual(stored, sorted(keys))
+        # Three routers ask about twice a second each without a return.
+        self.assertLess(self.store.calls - calls, 100)
+
+    # Guards against a second return that is overlooked while the routers still handle the first one.
+    def test_two_returns_in_short_order(self):
+        for _ in range(2):
+            self.leave_and_return(self.first_copy, 503)
+        keys = ["key"] + [f"router/{router.ip}" for router in self.routers]
+        self.assertTrue(until(lambda: None not in map(self.value, keys), 5))
+        for router in self.routers:
+            epochs = [line["epoch"] for line in router.log_lines() if line["message"] == "store_epoch"]
+            self.assertEqual(epochs[-1], 3)
+            self.assertEqual(self.send(router), 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
