--- a/tests/system/test_store_return_routers.py
+++ b/tests/system/test_store_return_routers.py
@@ -10,6 +10,7 @@
 from store_return import StoreReturnTestCase  # noqa: E402
 
 TABLE = "pomelospar"
+RECEIVED = 'pomelospar_report_datagrams_total{kind="received"}'
 
 
 class RoutersAfterReturnTest(StoreReturnTestCase):
@@ -36,6 +37,21 @@
         # Three routers ask about twice a second each without a return.
         self.assertLess(self.store.calls - calls, 100)
 
+    # Guards against routers that cease to send each other reports, because the copy lacks their rows.
+    def test_reports_go_on_over_the_return(self):
+        before = [len(router.log_lines()) for router in self.routers]
+        received = [router.metric(RECEIVED) for router in self.routers]
+        self.leave_and_return(self.first_copy, 503)
+        for _ in range(10):
+            time.sleep(0.5)
+            now = [router.metric(RECEIVED) for router in self.routers]
+            # Two others report about every 80 ms.
+            self.assertTrue(all(n - r >= 5 for n, r in zip(now, received)), (received, now))
+            received = now
+        for router, first in zip(self.routers, before):
+            peers = {line["peers"] for line in router.log_lines()[first:] if line["message"] == "load"}
+            self.assertEqual(peers, {2})
+
     # Guards against a second return that is overlooked while the routers still handle the first one.
     def test_two_returns_in_short_order(self):
         for _ in range(2):
