--- a/tests/system/store_return.py
+++ b/tests/system/store_return.py
@@ -10,10 +10,16 @@
 DOMAINS = ("a", "b", "c")
 AWAY_SECONDS = 0.5
 COPY_AGE_SECONDS = 2.0
+ADDED_ROUTE = {
+    "name": "added", "prefix": "/added/", "route-kind": "idempotent", "timeout-ms": 1000,
+    "service": "desk", "max-attempts": 2,
+}  # fmt: skip
 
 
 class StoreReturnTestCase(unittest.TestCase):
-    """Three routers in as many failure domains, and a plain service."""
+    """Routers in three failure domains, one in each unless the test says otherwise, and a plain service."""
+
+    router_domains = DOMAINS
 
     def setUp(self):
         self.platform = Platform()
@@ -23,7 +29,7 @@
         # Without the rows of the routers.
         self.first_copy = self.call(self.store.copy)
         self.routers = []
-        for number, domain in enumerate(DOMAINS, 1):
+        for number, domain in enumerate(self.router_domains, 1):
             router = Router(self.platform.store_port, f"127.0.0.{number}", domain)
             self.addCleanup(router.end)
             self.routers.append(router)
--- a/tests/system/test_store_return_configuration.py
+++ b/tests/system/test_store_return_configuration.py
@@ -7,14 +7,11 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from platform_router import CONFIGURATION_LIMIT, KEY, REVOCATION_LIMIT, until  # noqa: E402
-from store_return import AWAY_SECONDS, COPY_AGE_SECONDS, REVOKED_KEY, StoreReturnTestCase  # noqa: E402
+from store_return import (  # noqa: E402
+    ADDED_ROUTE, AWAY_SECONDS, COPY_AGE_SECONDS, REVOKED_KEY, StoreReturnTestCase)
 
 # Time for which a router waits for what the operator writes again.
 REWRITE_SECONDS = 10.0
-ADDED_ROUTE = {
-    "name": "added", "prefix": "/added/", "route-kind": "idempotent", "timeout-ms": 1000,
-    "service": "desk", "max-attempts": 2,
-}
 
 
 class ConfigurationAfterReturnTest(StoreReturnTestCase):
