--- a/libraries/dispatch/store_position.h
+++ b/libraries/dispatch/store_position.h
@@ -17,7 +17,7 @@
   StoreEpoch epoch;
   std::uint64_t version = 0;
 
-  auto operator<=>(const StorePosition&) const = default;
+  auto operator<=>(const StorePosition&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace pomelospar::dispatch
--- a/services/pomelospar_edge/store_epoch.cc
+++ b/services/pomelospar_edge/store_epoch.cc
@@ -111,10 +111,9 @@
 // keys and routes must not be used again. What a report tells may have been written after the
 // store was asked last, so only a later answer shows that the store lacks it.
 void StoreSync::CheckReportedPolicy() {
-  const bool is_older =
-      this->router.policy->version<this->reported_policy_version&& this->policy_asked_at> this
-          ->policy_reported_at &&
-      !this->StoreHoldsPolicy();
+  const bool is_reported = this->reported_policy_version > this->router.policy->version;
+  const bool was_asked_since = this->policy_asked_at > this->policy_reported_at;
+  const bool is_older = is_reported && was_asked_since && !this->StoreHoldsPolicy();
   if (is_older) this->router.policy_confirmed_at = {};
   if (std::exchange(this->router.policy_is_older, is_older) == is_older) return;
   this->router.log.Write(LogLevel::kWarning, "policy_older_than_reported",
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -92,8 +92,9 @@
   this->peers.fill_report = [this](dispatch::PeerReport& report) {
     report.policy = this->policy_watch.proof;
     report.policy_version = this->router.policy ? this->router.policy->version : 0;
-    if (this->router.evacuations.position.version > 0)
+    if (this->router.evacuations.position.version > 0) {
       report.evacuations = this->router.evacuations;
+    }
     report.directory = this->runner_watch.proof;
     report.store_regained_at = this->runner_watch.regained_stamp;
     if (this->is_store_poller.value_or(false)) {
@@ -224,9 +225,7 @@
     }
     evacuations.push_back({std::move(domain), removed});
   };
-  for (const auto& row : rows.rows) {
-    add(row.key, row.removed);
-  }
+  for (const auto& row : rows.rows) add(row.key, row.removed);
   for (const auto& evacuation : evacuations) {
     if (evacuation.removed) EndKeptEvacuation(this->router, evacuation.domain);
   }
