--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -21,7 +21,6 @@
 Prints one line for each seed and, if a check failed, the faults and the end of the routers' logs.
 """
 
-import argparse
 import collections
 import http.client
 import os
@@ -35,6 +34,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "system"))
 from platform_router import KEY, REVOCATION_LIMIT, Router, caller_headers, request_head, until  # noqa: E402
 from proxy import Proxy  # noqa: E402
+from seeds import run_seeds, seed_parser  # noqa: E402
 from table_platform import Platform  # noqa: E402
 
 ROUTERS = 3
@@ -450,17 +450,11 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--seeds", default="1", help="one seed, or the first and the last: 1-50")
-    parser.add_argument("--seconds", type=float, default=12.0, help="time with faults in each seed")
+    parser = seed_parser(__doc__, 12.0)
     parser.add_argument("--store-returns", action="store_true",
                         help="the store also comes back from older copies; plays other faults with a seed")  # fmt: skip
     arguments = parser.parse_args()
-    first, _, last = arguments.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
-    failed = [seed for seed in seeds if not run(seed, arguments.seconds, arguments.store_returns)]
-    print(f"failed seeds: {failed}" if failed else "all seeds kept all promises")
-    sys.exit(1 if failed else 0)
+    run_seeds(arguments.seeds, lambda seed: run(seed, arguments.seconds, arguments.store_returns))
 
 
 if __name__ == "__main__":
--- a/tests/soak/store_return_soak.py
+++ b/tests/soak/store_return_soak.py
@@ -20,7 +20,6 @@
 the routers' logs that tell which configuration they held and why.
 """
 
-import argparse
 import collections
 import http.client
 import os
@@ -32,6 +31,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "system"))
 from platform_router import CONFIGURATION_LIMIT, KEY, REVOCATION_LIMIT, Router, caller_headers, until  # noqa: E402
+from seeds import run_seeds, seed_parser  # noqa: E402
 from table_platform import Platform  # noqa: E402
 
 DOMAINS = ("a", "a", "a", "b", "b", "c")
@@ -311,16 +311,10 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--seeds", default="1", help="one seed, or the first and the last: 1-50")
-    parser.add_argument("--seconds", type=float, default=25.0, help="time with faults in each seed")
+    parser = seed_parser(__doc__, 25.0)
     parser.add_argument("--routers", type=int, default=6, help="number of routers of the fleet")
     arguments = parser.parse_args()
-    first, _, last = arguments.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
-    failed = [seed for seed in seeds if not run(seed, arguments.seconds, arguments.routers)]
-    print(f"failed seeds: {failed}" if failed else "all seeds kept all promises")
-    sys.exit(1 if failed else 0)
+    run_seeds(arguments.seeds, lambda seed: run(seed, arguments.seconds, arguments.routers))
 
 
 if __name__ == "__main__":
