Review: Shorten the pauses of case 12

The operator writes again 5 s after the return of the store instead of 8 s, and the routers are killed 1 s apart instead of 1.5 s.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -17,10 +17,10 @@
 STABLE_SECONDS = 5.0
 STORE_AWAY_SECONDS = 1.0
 # Between the restarts of one router and the next, and until a killed process is started again.
-KILL_GAP_SECONDS = 1.5
+KILL_GAP_SECONDS = 1.0
 RESTART_DELAY_SECONDS = 0.5
 # After the return of the store the operator writes its configuration again.
-REWRITE_SECONDS = 8.0
+REWRITE_SECONDS = 5.0
 PROBE_SECONDS = 0.1
 
 
