Review: Case 12 restarts five of seven routers by SIGTERM, two run on

The case killed all of three routers in turn. Now the routers are those of the deployment, five of them are restarted as roll_term does, and two that know the newer configuration run all the time.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A key is taken away, the store comes back from an older copy, and the routers restart one after the other."""
+"""A key is taken away and the store comes back from an older copy while the routers are restarted in turn."""
 
 import asyncio
 import os
@@ -10,18 +10,23 @@
 from stand_ins import KEY, Platform, Router, configuration, exchange, request  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PLACES = (("127.0.0.1", "fes-a"), ("127.0.0.2", "meknes-b"), ("127.0.0.3", "tanger-c"))
+PLACES = (("127.0.0.1", "fes-a"), ("127.0.0.2", "fes-a"), ("127.0.0.3", "fes-a"), ("127.0.0.4", "meknes-b"),
+          ("127.0.0.5", "meknes-b"), ("127.0.0.6", "tanger-c"), ("127.0.0.7", "tanger-c"))
 REVOKED_KEY = "k7b2ex5wa5xwyhks8nbk"
 REVOKE_SECONDS = 5.0
 # Between the acknowledgement of the configuration that takes the key away and the loss of the store.
 STABLE_SECONDS = 5.0
 STORE_AWAY_SECONDS = 1.0
-# Between the restarts of one router and the next, and until a killed process is started again.
-KILL_GAP_SECONDS = 1.0
-RESTART_DELAY_SECONDS = 0.5
+# SIGTERM to one router after the other, and until a process that has ended is started again.
+STOP_GAP_SECONDS = 1.0
+RESTART_DELAY_SECONDS = 0.3
+# These routers are restarted; the two others run all the time.
+RESTARTED = 5
+# From the first SIGTERM to the loss of the store.
+EARLIER_SECONDS = 1.7
 # After the return of the store the operator writes its configuration again.
 REWRITE_SECONDS = 5.0
-PROBE_SECONDS = 0.1
+PROBE_SECONDS = 0.05
 
 
 class Case:
@@ -56,12 +61,20 @@
             await asyncio.sleep(PROBE_SECONDS)
 
     async def restart(self, router):
-        router.process.kill()
-        router.process.wait()
-        self.note(f"{router.ip} killed")
+        router.process.terminate()
+        self.note(f"{router.ip} gets SIGTERM")
+        while router.process.poll() is None:
+            await asyncio.sleep(0.02)
         await asyncio.sleep(RESTART_DELAY_SECONDS)
         router.start()
-        self.note(f"{router.ip} started again")
+        self.note(f"{router.ip} starts again")
+
+    async def restart_in_turn(self):
+        restarts = []
+        for router in self.routers[:RESTARTED]:
+            restarts.append(asyncio.ensure_future(self.restart(router)))
+            await asyncio.sleep(STOP_GAP_SECONDS)
+        await asyncio.gather(*restarts)
 
     async def play(self):
         probes = [asyncio.ensure_future(self.probe(router)) for router in self.routers]
@@ -71,22 +84,21 @@
         revoking = configuration(5, [KEY])
         acknowledged = self.platform.configure(revoking)
         self.note("configuration 5, without the key, is acknowledged")
-        await asyncio.sleep(STABLE_SECONDS)
         if TROUBLE:
+            await asyncio.sleep(STABLE_SECONDS - EARLIER_SECONDS)
+            restarts = asyncio.ensure_future(self.restart_in_turn())
+            await asyncio.sleep(EARLIER_SECONDS)
             self.platform.at_store(lambda store: store.go_away())
             self.note("the store is away")
             await asyncio.sleep(STORE_AWAY_SECONDS)
             self.platform.at_store(lambda store: store.come_back(copy))
             self.note(f"the store is back from a copy {STABLE_SECONDS + STORE_AWAY_SECONDS + 0.5:.1f} s old")
-            back = time.monotonic()
-            for router in self.routers:
-                await asyncio.sleep(KILL_GAP_SECONDS - RESTART_DELAY_SECONDS)
-                await self.restart(router)
-            await asyncio.sleep(max(back + REWRITE_SECONDS - time.monotonic(), 0.0))
+            await asyncio.sleep(REWRITE_SECONDS)
             self.platform.configure(revoking)
             self.note("the operator has written configuration 5 again")
+            await restarts
         else:
-            await asyncio.sleep(STORE_AWAY_SECONDS + REWRITE_SECONDS)
+            await asyncio.sleep(STABLE_SECONDS + STORE_AWAY_SECONDS + REWRITE_SECONDS)
         await asyncio.sleep(3.0)
         self.probing = False
         await asyncio.gather(*probes)
--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -353,8 +353,8 @@
 
     async def add_runner(self, identifier, service, zone, slots):
         runner = Runner(self, identifier, service, zone, slots)
-        runner.server = await asyncio.start_server(runner.serve, "127.0.0.1", 0, limit=1 << 20)
-        runner.port = runner.server.sockets[0].getsockname()[1]
+        runner.port = free_ports("127.0.0.1", 1)[0]
+        runner.server = await asyncio.start_server(runner.serve, "127.0.0.1", runner.port, limit=1 << 20)
         self.runners.append(runner)
         self.store.put("servers", identifier, runner.entry())
         return runner
