--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -114,6 +115,8 @@
 
 
 free_ports.next = 10000 + (os.getpid() * 211) % 20000
+# A case that is ended early ends its processes too.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
 
 async def read_message(reader):
