Platform: Return the version of a written row

Cause: a conditional write that follows on one's own write needs the version that the row has got. The store's answer names it, but StoreClient::Write dropped it, so that each further write would cost a read before it. Change: Write returns the version.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -129,7 +129,7 @@
       this->io,
       this->Serve({{200, "Store-Era: 1\r\n", milliseconds(300)}, {200, "Store-Era: 2\r\n"}}),
       asio::detached);
-  core::Result<void> written = core::Success();
+  core::Result<std::uint64_t> written = std::uint64_t{0};
   asio::co_spawn(
       this->io,
       [this, &written]() -> asio::awaitable<void> {
