Store: Started routers await evidence that the store holds the newest configuration

Cause: what a router knows of configurations was in its memory only. A started router believed the first report it heard, also of a router that had read the same copy; reports named the version in force, not the newest one known; nothing in the store showed that it had come back. Evidence: policy_confirmed_by in the log of each router that accepted the key names a router that had just started. Change: dispatch::PolicyKnowledge, without I/O. Rows of the routers name the epoch in which they were written and a configuration that the store lacks; one row of the fleet names the latest epoch in which a router knew; reports tell the newest version known and whether the sender is sure. A started router, and one that was unconfirmed at the return, awaits evidence, for 10 s at most. Why this works: a router that knows nothing gives no evidence, whatever it has read, and rows of another epoch show the return when nobody is left who knows.

--- a/libraries/dispatch/peer_view.h
+++ b/libraries/dispatch/peer_view.h
@@ -70,8 +70,11 @@
   std::vector<ColdRunner> cold_runners;
   /// Absent until the sender has read the operator's table.
   std::optional<Evacuations> evacuations;
-  /// Version of the configuration in force at the sender; 0 if there is none.
+  /// Version of the newest configuration that the sender knows of, in force there or not; 0 if
+  /// there is none.
   std::uint64_t policy_version = 0;
+  /// True if the sender cannot tell whether there is a newer one.
+  bool policy_is_unconfirmed = false;
   /// Contents of the operator's table and of the runner directory that the sender holds.
   std::optional<TableProof> policy;
   std::optional<TableProof> directory;
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -222,6 +222,7 @@
   if (!this->state.suspects.empty()) this->UpdateSuspects();
   if (this->ticks % kTicksPerSettingsCheck == 0) this->ReloadSettings();
   const bool ready = this->IsReady();
+  this->sync->UpdateKnowledge();
   if (ready != this->was_ready) {
     this->was_ready = ready;
     this->log.Write(LogLevel::kInfo, "readiness", {{"ready", ready}});
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -252,6 +252,7 @@
   if (message.has_evacuations()) report.evacuations = Decode(message.evacuations());
   report.policy_version = message.policy_version();
   if (message.has_policy()) report.policy = Decode(message.policy());
+  report.policy_is_unconfirmed = message.policy_unconfirmed();
   if (message.has_directory()) report.directory = Decode(message.directory());
   if (message.has_store_regained_at_ms()) {
     report.store_regained_at = std::chrono::milliseconds(message.store_regained_at_ms());
@@ -296,6 +297,7 @@
   if (report.evacuations) Encode(*report.evacuations, *message.mutable_evacuations());
   message.set_policy_version(report.policy_version);
   if (report.policy) Encode(*report.policy, *message.mutable_policy());
+  message.set_policy_unconfirmed(report.policy_is_unconfirmed);
   if (report.directory) Encode(*report.directory, *message.mutable_directory());
   if (report.store_regained_at) {
     message.set_store_regained_at_ms(FloorMilliseconds(*report.store_regained_at));
--- a/services/pomelospar_edge/request_admission.cc
+++ b/services/pomelospar_edge/request_admission.cc
@@ -29,7 +29,8 @@
 std::optional<Refusal> CheckRoute(const RouterState& state, const dispatch::Route* route) {
   if (!state.policy) return Refusal{503, "no configuration yet", kRetryAfterWhileUnconfirmed};
   if (state.policy_is_older) {
-    return Refusal{503, "another router has a newer configuration", kRetryAfterWhileUnconfirmed};
+    return Refusal{503, "a newer configuration is missing in the store",
+                   kRetryAfterWhileUnconfirmed};
   }
   if (route != nullptr) return std::nullopt;
   // The route may have been added after the configuration that this router knows.
--- a/services/pomelospar_edge/router_state.cc
+++ b/services/pomelospar_edge/router_state.cc
@@ -7,6 +7,7 @@
 
 #include "libraries/core/identifiers.h"
 #include "libraries/core/milliseconds.h"
+#include "libraries/dispatch/policy_knowledge.h"
 
 namespace pomelospar::edge {
 
@@ -151,7 +152,7 @@
     if (read.domains.contains(domain)) continue;
     if (is_return) {
       kept.domains.insert(domain);
-      kept.until = state.clock.now() + kOperatorRewriteTime;
+      kept.until = state.clock.now() + dispatch::kOperatorRewriteTime;
       LogEvacuation(state, domain, "kept", source);
     } else {
       EndEvacuation(state, domain, source);
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -101,10 +101,6 @@
   core::TimePoint broken_at;
 };
 
-/// After the store has come back from an older copy, the operator writes again what the copy lacks.
-/// For this time, what it is known to have written is taken as still in force.
-inline constexpr core::Duration kOperatorRewriteTime = std::chrono::seconds(10);
-
 /// Evacuations that the store lacks since it has come back from an older copy.
 struct KeptEvacuations {
   std::set<std::string, std::less<>> domains;
@@ -140,8 +136,9 @@
   /// Failure domains that the operator has evacuated, as far as this router or another one knows.
   dispatch::Evacuations evacuations;
   KeptEvacuations kept_evacuations;
-  /// True while another router has a newer configuration that the store lacks, as it may after its
-  /// return from an older copy. Nothing is served by `policy` then.
+  /// True while the store, after its return from an older copy, lacks a newer configuration that
+  /// another router has, or probably lacks one because no router that knows has told yet. Nothing
+  /// is served by `policy` then.
   bool policy_is_older = false;
   /// Latest time since boot at which `policy` was known to be the newest configuration.
   core::Duration policy_confirmed_at{};
@@ -261,7 +258,7 @@
 /// count as cold, because they had no work and may have been restarted. `source` is "store" or the
 /// name of the router that told it; what was read from the store is told to the others, so that
 /// routers that start shortly after it know it too. An evacuation that is missing because the store
-/// has come back from an older copy is kept for `kOperatorRewriteTime`.
+/// has come back from an older copy is kept for `dispatch::kOperatorRewriteTime`.
 void AdoptEvacuations(RouterState& state, const dispatch::Evacuations& read,
                       std::string_view source);
 
--- a/services/pomelospar_edge/store_epoch.cc
+++ b/services/pomelospar_edge/store_epoch.cc
@@ -55,9 +55,10 @@
                  "How often the store has come back from an older copy; -1 if it does not tell.",
                  {})
       .Set(static_cast<double>(Loggable(epochs.current)));
+  this->knowledge.OnEpoch(this->router.clock.since_boot(), epochs.current,
+                          PolicyIsFresh(this->router, this->router.settings.key_revocation_limit));
   if (is_first) return;
   const auto now = this->router.clock.now();
-  this->epoch_began = now;
   this->store_clock = {};
   this->runner_watch.regained_stamp.reset();
   for (const auto& [id, runner] : this->router.runners) runner->entry_version = 0;
@@ -88,38 +89,37 @@
   }
 }
 
-bool StoreSync::HasHeardOfPolicies() const {
-  if (!this->store.epochs().current || this->has_reported_policy) return true;
-  if (this->router.clock.now() >= this->peer_discovery_end) return true;
-  return this->router_watch.position && !this->peers.has_peers();
-}
-
-void StoreSync::RecordReportedPolicy(std::uint64_t version) {
-  if (version == 0) return;
-  this->has_reported_policy = true;
-  if (version > this->reported_policy_version) {
-    this->reported_policy_version = version;
-    const auto known = this->router.policy ? this->router.policy->version : 0;
-    if (version > known) this->policy_reported_at = this->router.clock.since_boot();
-  }
+// A router that has just started may read an older configuration than the others, whose withdrawn
+// keys and routes must not be used again.
+void StoreSync::CheckPolicyKnowledge() {
   if (!this->router.policy) return;
-  this->CheckReportedPolicy();
-  if (version <= this->router.policy->version) this->ConfirmPolicy(this->policy_asked_at, "store");
+  const auto now = this->router.clock.since_boot();
+  const auto& own_name = this->router.settings.ip;
+  const bool is_older =
+      this->knowledge.IsInForceOlder(now) || this->knowledge.IsAwaitingAfterReturn(now, own_name);
+  if (is_older) this->router.policy_confirmed_at = {};
+  if (std::exchange(this->router.policy_is_older, is_older) != is_older) {
+    this->router.log.Write(LogLevel::kWarning, "policy_may_be_older",
+                           {{"version", this->router.policy->version},
+                            {"newest_known", this->knowledge.newest_version()},
+                            {"awaiting", this->knowledge.IsAwaiting(now, own_name)},
+                            {"is_older", is_older}});
+  }
+  this->ConfirmPolicy(this->policy_asked_at, "store");
 }
 
-// A router that has just started may read an older configuration than the others, whose withdrawn
-// keys and routes must not be used again. What a report tells may have been written after the
-// store was asked last, so only a later answer shows that the store lacks it.
-void StoreSync::CheckReportedPolicy() {
-  const bool is_reported = this->reported_policy_version > this->router.policy->version;
-  const bool was_asked_since = this->policy_asked_at > this->policy_reported_at;
-  const bool is_older = is_reported && was_asked_since && !this->StoreHoldsPolicy();
-  if (is_older) this->router.policy_confirmed_at = {};
-  if (std::exchange(this->router.policy_is_older, is_older) == is_older) return;
-  this->router.log.Write(LogLevel::kWarning, "policy_older_than_reported",
-                         {{"version", this->router.policy->version},
-                          {"reported", this->reported_policy_version},
-                          {"is_older", is_older}});
+void StoreSync::UpdateKnowledge() {
+  this->CheckPolicyKnowledge();
+  // After a return of the store, the rows are read at different times by the routers, which spreads
+  // their writes too.
+  if (!this->IsReadInEpoch(this->router_watch) || this->router.stop) return;
+  if (this->IsRowOutdated()) this->StartRegistration();
+  const bool is_due =
+      this->is_store_poller.value_or(false) && !this->is_writing_epoch &&
+      this->knowledge.IsFleetRowOutdated(this->router.clock.since_boot(), this->router.settings.ip);
+  if (!is_due) return;
+  this->is_writing_epoch = true;
+  asio::co_spawn(this->router.io, this->WriteEpochRow(), asio::detached);
 }
 
 bool StoreSync::IsReadInEpoch(const TableWatch& watch) const {
--- a/services/pomelospar_edge/store_proofs.cc
+++ b/services/pomelospar_edge/store_proofs.cc
@@ -77,7 +77,9 @@
 
 void StoreSync::OnReport(const dispatch::PeerReport& report) {
   if (report.evacuations) this->ApplyReportedEvacuations(*report.evacuations, report.sender);
-  this->RecordReportedPolicy(report.policy_version);
+  this->knowledge.OnReport(this->router.clock.since_boot(), report.sender, report.policy_version,
+                           !report.policy_is_unconfirmed);
+  this->CheckPolicyKnowledge();
   if (const auto at = this->ApplyProof(this->policy_watch, report.policy, report.sender)) {
     this->ConfirmPolicy(*at, report.sender);
   }
--- a/services/pomelospar_edge/store_registration.cc
+++ b/services/pomelospar_edge/store_registration.cc
@@ -7,12 +7,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
 #include "libraries/core/identifiers.h"
-#include "services/pomelospar_edge/router_row.h"
 #include "services/pomelospar_edge/store_sync.h"
 
 namespace pomelospar::edge {
@@ -26,6 +24,9 @@
 // The row with the key that authenticates reports, and the prefix of the rows of the routers.
 constexpr std::string_view kKeyRow = "key";
 constexpr std::string_view kRouterRowPrefix = "router/";
+// The row that names the latest epoch of the store in which a router knew whether the store lacks a
+// configuration.
+constexpr std::string_view kEpochRow = "epoch";
 
 constexpr core::Duration kRouterPauseWithoutKey = milliseconds(200);
 // Routers that start together register within the first pause. The pause doubles after each answer.
@@ -35,6 +36,8 @@
 // exchange reports within 3 s. Each router of the fleet may propose, so that a shorter pause would
 // add to the load of a failing store.
 constexpr core::Duration kKeyProposalPause = milliseconds(2000);
+// Pause after a write of the row of the epoch, before it may be repeated.
+constexpr core::Duration kEpochRowPause = milliseconds(3000);
 // Longest pause after a failed call that adds or removes this router's row.
 constexpr core::Duration kRegistrationPause = milliseconds(1000);
 // A router that was not heard of for this time has ended without removing its row, which would
@@ -56,8 +59,9 @@
 void StoreSync::ApplyRouters(const adapter::StoreRows& rows, bool whole) {
   if (whole) {
     this->key_is_stored = false;
-    this->RemoveUnlistedRouters(rows);
+    this->knowledge.SetFleetRow(std::nullopt);
   }
+  const auto now = this->router.clock.since_boot();
   bool key_removed = false;
   for (const auto& row : rows.rows) {
     if (row.key == kKeyRow) {
@@ -66,21 +70,32 @@
       if (!row.removed) this->peers.SetKey(row.value);
       continue;
     }
-    if (!row.key.starts_with(kRouterRowPrefix)) continue;
-    const auto name = row.key.substr(kRouterRowPrefix.size());
-    if (name == this->router.settings.ip) {
-      if (row.removed) this->RegisterAgain();
+    if (row.key == kEpochRow) {
+      const auto epoch = row.removed ? std::nullopt : DecodeEpochRow(row.value);
+      this->knowledge.SetFleetRow(
+          epoch ? std::optional(dispatch::PolicyStatement{epoch, 0, row.version}) : std::nullopt);
       continue;
     }
+    if (!row.key.starts_with(kRouterRowPrefix)) continue;
+    const auto name = row.key.substr(kRouterRowPrefix.size());
     const auto entry = row.removed ? std::nullopt : DecodeRouterRow(row.value);
-    if (!entry) {
+    if (entry) {
+      this->knowledge.SetRow(now, name, {entry->epoch, entry->newest_policy, row.version});
+    } else {
+      this->knowledge.RemoveRow(name);
+    }
+    if (name == this->router.settings.ip) {
+      if (row.removed && this->written_row) this->StartRegistration();
+    } else if (entry) {
+      this->peers.SetPeer(name, entry->address, entry->domain, row.version);
+    } else {
       this->peers.RemovePeer(name);
-      continue;
     }
-    this->peers.SetPeer(name, entry->address, entry->domain, row.version);
   }
-  // Without other routers, nobody else can tell of a newer configuration.
-  if (this->router.policy) this->ConfirmPolicy(this->policy_asked_at, "store");
+  if (whole) this->RemoveUnlistedRouters(rows);
+  this->CheckPolicyKnowledge();
+  // The row of the former process at this address has been read now.
+  if (!this->written_row) this->StartRegistration();
   if (!this->peers.has_key()) {
     this->router_watch.pause = kRouterPauseWithoutKey;
   } else {
@@ -104,19 +119,60 @@
     }
   }
   this->peers.RemovePeersExcept(listed);
-  if (!listed.contains(this->router.settings.ip)) this->RegisterAgain();
+  this->knowledge.OnRowsRead(listed);
+  if (!listed.contains(this->router.settings.ip) && this->written_row) this->StartRegistration();
+}
+
+RouterRow StoreSync::OwnRow() {
+  const auto statement = this->knowledge.StatementForRow();
+  RouterRow row = {.address = this->peers.address(), .domain = this->router.settings.domain};
+  // Without epochs, no reader could make use of the rest.
+  if (!this->store.epochs().current) return row;
+  row.epoch = statement.epoch;
+  row.newest_policy = statement.newest;
+  return row;
 }
 
-void StoreSync::RegisterAgain() {
-  // The first registration may still be on its way.
-  if (!this->is_registered || this->router.stop) return;
-  this->is_registered = false;
-  this->router.log.Write(LogLevel::kInfo, "row_removed", {});
+// A row that still names a configuration which the store holds by now needs no further write.
+bool StoreSync::IsRowOutdated() {
+  const auto row = this->OwnRow();
+  return this->written_row && (this->written_row->epoch != row.epoch ||
+                               this->written_row->newest_policy < row.newest_policy);
+}
+
+void StoreSync::StartRegistration() {
+  // The registration before may still be on its way.
+  if (this->is_registering || this->router.stop) return;
+  this->is_registering = true;
+  this->router.log.Write(LogLevel::kInfo, "registration",
+                         {{"again", this->written_row.has_value()}});
+  this->written_row.reset();
   asio::co_spawn(this->router.io, this->Register(), asio::detached);
 }
 
+bool StoreSync::MustLeaveRow() {
+  if (!this->store.epochs().current || !this->policy_watch.position) return false;
+  const auto now = this->router.clock.since_boot();
+  return !this->IsReadInEpoch(this->policy_watch) || !this->knowledge.StoreHoldsNewest(now);
+}
+
+asio::awaitable<void> StoreSync::WriteEpochRow() {
+  const adapter::ConditionalWrite write = {
+      .table = std::string(kFleetTable),
+      .key = std::string(kEpochRow),
+      .value = EncodeEpochRow(this->store.epochs().current),
+      .expected_version = static_cast<std::int64_t>(this->knowledge.fleet_row_version())};
+  const auto written = co_await this->store.Write(write, kStoreCallTimeout);
+  this->router.log.Write(LogLevel::kInfo, "epoch_written",
+                         {{"error", written ? std::string() : written.error().message}});
+  // The watch reads the row meanwhile, whoever has written it.
+  asio::steady_timer timer(this->router.io, kEpochRowPause);
+  co_await timer.async_wait(kTuple);
+  this->is_writing_epoch = false;
+}
+
 void StoreSync::RemoveSilentRouters() {
-  if (this->is_removing_silent || this->router_watch.failing || !this->is_registered) return;
+  if (this->is_removing_silent || this->router_watch.failing || !this->written_row) return;
   // The versions of the rows must be of the current epoch.
   if (!this->IsReadInEpoch(this->router_watch)) return;
   if (this->router.stop || !this->is_store_poller.value_or(false)) return;
@@ -169,32 +225,46 @@
   this->is_proposing_key = false;
 }
 
+asio::awaitable<core::Result<std::uint64_t>> StoreSync::WriteOwnRow() {
+  const auto row = this->OwnRow();
+  adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
+                                     .key = RouterRowKey(this->router.settings.ip),
+                                     .value = EncodeRouterRow(row)};
+  auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
+  if (written) this->written_row = row;
+  co_return written;
+}
+
 asio::awaitable<void> StoreSync::Register() {
   asio::steady_timer timer(this->router.io);
-  const nlohmann::json row = {{"address", this->peers.address()},
-                              {"domain", this->router.settings.domain}};
   while (!this->router.stop) {
-    adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
-                                       .key = RouterRowKey(this->router.settings.ip),
-                                       .value = row.dump()};
-    const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
-    if (written) {
-      this->is_registered = true;
-      break;
-    }
+    const auto written = co_await this->WriteOwnRow();
+    if (written) break;
     timer.expires_after(this->Jitter(kRegistrationPause));
     co_await timer.async_wait(kTuple);
   }
+  this->is_registering = false;
 }
 
 asio::awaitable<void> StoreSync::Unregister() {
   asio::steady_timer timer(this->router.io);
+  bool is_removed = false;
   while (true) {
-    adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
-                                       .key = RouterRowKey(this->router.settings.ip),
-                                       .remove = true};
-    const auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
-    if (written) break;
+    core::Result<std::uint64_t> written = std::uint64_t{0};
+    if (this->MustLeaveRow()) {
+      if (!is_removed && !this->IsRowOutdated()) break;
+      written = co_await this->WriteOwnRow();
+      if (written) is_removed = false;
+    } else {
+      adapter::ConditionalWrite write = {.table = std::string(kFleetTable),
+                                         .key = RouterRowKey(this->router.settings.ip),
+                                         .remove = true};
+      written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
+      if (written) is_removed = true;
+      // The answer may have shown that the store has come back from an older copy.
+      if (is_removed && !this->MustLeaveRow()) break;
+    }
+    if (written) continue;
     this->router.log.Write(LogLevel::kInfo, "unregister_failed",
                            {{"error", written.error().message}});
     timer.expires_after(this->Jitter(kRegistrationPause));
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -38,8 +38,6 @@
 // Longer, because at the start of a fleet the entries change permanently.
 constexpr core::Duration kRunnerFollowerPause = milliseconds(1000);
 constexpr core::Duration kPolicyPause = milliseconds(50);
-// Time in which a started router reads the key and the rows of the others and gets their reports.
-constexpr core::Duration kPeerDiscovery = milliseconds(2000);
 // The platform holds a query for at most 30 s. This table is not urgent: routers whose rows are not
 // known yet are known by their reports.
 constexpr dispatch::PollSchedule kRouterSchedule = {.wait = milliseconds(25000)};
@@ -91,7 +89,9 @@
   };
   this->peers.fill_report = [this](dispatch::PeerReport& report) {
     report.policy = this->policy_watch.proof;
-    report.policy_version = this->router.policy ? this->router.policy->version : 0;
+    report.policy_version = this->knowledge.NewestToTell(this->router.clock.since_boot());
+    report.policy_is_unconfirmed =
+        !PolicyIsFresh(this->router, this->router.settings.key_revocation_limit);
     if (this->router.evacuations.position.version > 0) {
       report.evacuations = this->router.evacuations;
     }
@@ -106,11 +106,10 @@
 }
 
 void StoreSync::Start() {
-  this->peer_discovery_end = this->router.clock.now() + kPeerDiscovery;
+  this->peer_discovery_end = this->router.clock.now() + dispatch::kPeerDiscovery;
   asio::co_spawn(this->router.io, this->WatchTable(this->policy_watch), asio::detached);
   asio::co_spawn(this->router.io, this->WatchTable(this->runner_watch), asio::detached);
   asio::co_spawn(this->router.io, this->WatchTable(this->router_watch), asio::detached);
-  asio::co_spawn(this->router.io, this->Register(), asio::detached);
 }
 
 core::Duration StoreSync::Jitter(core::Duration longest) {
@@ -242,19 +241,12 @@
   auto state = this->router.policy->version;
   const auto evacuations = dispatch::HashOf(this->router.evacuations);
   if (evacuations != 0) state = core::CombineHashes(state, evacuations);
-  if (this->stored_policy_version < this->router.policy->version) {
-    state = core::CombineHashes(state, this->stored_policy_version);
+  if (this->knowledge.stored_version() < this->router.policy->version) {
+    state = core::CombineHashes(state, this->knowledge.stored_version());
   }
   return state;
 }
 
-bool StoreSync::StoreHoldsPolicy() const {
-  const auto newest = std::max(this->router.policy->version, this->reported_policy_version);
-  if (this->stored_policy_version >= newest) return true;
-  return this->router.clock.now() - this->epoch_began >= kOperatorRewriteTime &&
-         this->router.clock.since_boot() - this->policy_reported_at >= kOperatorRewriteTime;
-}
-
 bool StoreSync::ApplyPolicyRow(const adapter::StoreRow& row) {
   auto policy = adapter::DecodePolicy(row.value);
   if (!policy) {
@@ -265,7 +257,7 @@
   const auto version = policy.value()->version;
   const auto known = this->router.policy ? this->router.policy->version : 0;
   const auto hash = core::HashName(row.value);
-  this->stored_policy_version = version;
+  this->stored_policy = {.version = version, .row_version = row.version};
   // A version whose write was lost may be given out again, with another content.
   const bool is_known = version == known && hash == this->policy_document_hash;
   if (this->router.policy && (version < known || is_known)) {
@@ -288,7 +280,9 @@
 
 void StoreSync::ConfirmPolicy(core::Duration at, std::string_view source) {
   if (at <= this->router.policy_confirmed_at) return;
-  if (!this->StoreHoldsPolicy() || !this->HasHeardOfPolicies()) return;
+  const auto now = this->router.clock.since_boot();
+  if (!this->knowledge.StoreHoldsNewest(now)) return;
+  if (this->knowledge.IsAwaiting(now, this->router.settings.ip)) return;
   this->router.policy_confirmed_at = at;
   this->router.policy_confirmed_by = source;
 }
@@ -306,9 +300,11 @@
   if (!this->router.policy || (!found && whole)) return;
   this->policy_asked_at = asked_at;
   this->router.policy_position = {rows.epoch, rows.version};
-  this->CheckReportedPolicy();
+  const auto now = this->router.clock.since_boot();
+  this->knowledge.OnInForce(now, this->router.policy->version);
+  this->knowledge.OnStored(now, asked_at, this->stored_policy, rows.version);
   this->SetProof(this->policy_watch, this->PolicyState(), asked_at);
-  this->ConfirmPolicy(asked_at, "store");
+  this->CheckPolicyKnowledge();
 }
 
 dispatch::RunnerChange StoreSync::DecodeRunnerRow(const adapter::StoreRow& row) {
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -11,12 +11,14 @@
 #include <string_view>
 #include <vector>
 
+#include "libraries/dispatch/policy_knowledge.h"
 #include "libraries/dispatch/remote_clock.h"
 #include "libraries/dispatch/runner_directory.h"
 #include "libraries/dispatch/table_proof.h"
 #include "libraries/http/upstream_pool.h"
 #include "platform/store_client.h"
 #include "services/pomelospar_edge/peer_exchange.h"
+#include "services/pomelospar_edge/router_row.h"
 #include "services/pomelospar_edge/router_state.h"
 
 namespace pomelospar::edge {
@@ -39,8 +41,12 @@
   /// Starts to watch the tables of the store and adds this router's row.
   void Start();
   /// Removes this router's row, so that the others no longer send reports to it. Repeats the call
-  /// until it succeeds or the process ends.
+  /// until it succeeds or the process ends. The row stays if it says what the store and the routers
+  /// that start later could not know without it.
   boost::asio::awaitable<void> Unregister();
+  /// Checks whether the configuration in force may be confirmed, and writes this router's row again
+  /// if it must say something else. Call several times a second.
+  void UpdateKnowledge();
   /// Removes the rows of routers that ended without doing so. Call a few times a second; only the
   /// router that queries the store for the others does anything.
   void RemoveSilentRouters();
@@ -146,16 +152,9 @@
                                 const std::string& sender);
   /// State of the operator's table in its proof.
   std::uint64_t PolicyState() const;
-  /// False while the store, after its return from an older copy, still lacks the newest known
-  /// configuration: there may be a newer one that it lacks too.
-  bool StoreHoldsPolicy() const;
-  /// Records the configuration that another router has.
-  void RecordReportedPolicy(std::uint64_t version);
-  /// True if another router would have told of a newer configuration by now, or there is none. A
-  /// started router cannot know whether the store has just come back from an older copy.
-  bool HasHeardOfPolicies() const;
-  /// Updates `policy_is_older` after a report or an answer of the store.
-  void CheckReportedPolicy();
+  /// Updates `policy_is_older`, and confirms the configuration in force as of the latest answer of
+  /// the store if nothing speaks against it any more.
+  void CheckPolicyKnowledge();
   /// Takes over a configuration that the store holds, unless it is known or older. Returns false
   /// if it cannot be decoded.
   bool ApplyPolicyRow(const adapter::StoreRow& row);
@@ -183,8 +182,19 @@
   void RecordEntryVersion(const adapter::StoreRow& row, bool is_changed);
   void ApplyRouters(const adapter::StoreRows& rows, bool whole);
   void RemoveUnlistedRouters(const adapter::StoreRows& rows);
-  /// Adds this router's row again after it was removed by another router or lost by the store.
-  void RegisterAgain();
+  /// This router's row as it should be now.
+  RouterRow OwnRow();
+  /// True if the row that this router has written must say something else.
+  bool IsRowOutdated();
+  boost::asio::awaitable<core::Result<std::uint64_t>> WriteOwnRow();
+  /// Writes the current epoch into the row of the fleet.
+  boost::asio::awaitable<void> WriteEpochRow();
+  /// True if the row must outlast this process: it may be the only witness of a return of the store
+  /// or of a configuration that the store has lost.
+  bool MustLeaveRow();
+  /// Adds this router's row at the start, or again after it was removed by another router or lost
+  /// by the store, or if it must say something else.
+  void StartRegistration();
   boost::asio::awaitable<void> RemoveRows(std::vector<ListedPeer> silent);
   /// Pseudo-random time of at least half of `longest` and less than `longest`.
   core::Duration Jitter(core::Duration longest);
@@ -199,19 +209,13 @@
   TableWatch router_watch;
   /// Of the current epoch only.
   dispatch::RemoteClock store_clock;
-  /// When the current epoch was first seen; zero if it is the first one.
-  core::TimePoint epoch_began{};
-  /// Version and hash of the configuration that the store held when it was read last.
-  std::uint64_t stored_policy_version = 0;
+  /// The configuration that the store held when it was read last, and the hash of its document.
+  dispatch::StoredPolicy stored_policy;
   std::uint64_t policy_document_hash = 0;
   /// When the operator's table was asked for by the latest call that was answered, since boot.
   core::Duration policy_asked_at{};
-  /// Newest version of the configuration that another router has reported, and when a version that
-  /// this router did not know was first reported, since boot.
-  std::uint64_t reported_policy_version = 0;
-  core::Duration policy_reported_at{};
-  /// True after another router has reported a configuration.
-  bool has_reported_policy = false;
+  /// Whether that answer held the newest configuration, by what other routers tell.
+  dispatch::PolicyKnowledge knowledge;
   /// The entries of runners as the store lists them. A runner whose entry lapsed during an outage
   /// is missing here while `router` still has it.
   dispatch::RunnerDirectory directory;
@@ -221,8 +225,13 @@
   core::TimePoint peer_discovery_end{};
   /// True if this router queries the store permanently; unset until its rank is first computed.
   std::optional<bool> is_store_poller;
-  /// True from the time at which this router has written its row until it learns of its removal.
-  bool is_registered = false;
+  /// The row as this router has written it last; absent until then, and after its removal by
+  /// another router.
+  std::optional<RouterRow> written_row;
+  /// True while `WriteEpochRow` runs.
+  bool is_writing_epoch = false;
+  /// True while `Register` runs.
+  bool is_registering = false;
   /// True while `RemoveRows` runs.
   bool is_removing_silent = false;
   /// True if the store holds a key for reports, as far as this router has read.
--- a/tests/soak/store_return_soak.py
+++ b/tests/soak/store_return_soak.py
@@ -6,7 +6,7 @@
 Each seed starts routers in three failure domains against the platform stand-in. At random times the store
 leaves (connections refused or reset, no responses, 503) and comes back from a copy some seconds old, in the
 next era, also with another clock; the operator writes its configuration again and changes it before, during
-and right after; routers are killed, stopped and frozen meanwhile; the runners' entries are written all the
+and right after; routers are killed, stopped and frozen meanwhile, one, several in turn or all at once; the runners' entries are written all the
 while. Callers keep open connections to each router until its process is gone. By the acknowledgements of the
 store it checks, for each request:
 
@@ -43,7 +43,7 @@
 # Times in seconds that the pages leave open: "a moment", "some seconds".
 AWAY_SECONDS = (0.2, 2.0)
 COPY_AGE_SECONDS = (0.5, 5.0)
-LOGGED = ("store_epoch", "policy_in_force", "policy_older_in_store", "policy_older_than_reported", "table_changed",
+LOGGED = ("store_epoch", "policy_in_force", "policy_older_in_store", "policy_may_be_older", "table_changed",
           "store_lost", "store_regained", "store_role", "start")  # fmt: skip
 
 
@@ -218,20 +218,37 @@
         draws = random.Random(f"routers {self.seed}")
         while time.monotonic() < end:
             time.sleep(draws.uniform(0.5, 4.0))
-            number = draws.randrange(len(self.routers))
-            process, begun = self.routers[number].process, time.monotonic()
-            kind = draws.choice(["kill", "stop", "freeze"])
-            self.record(f"{kind} {self.routers[number].ip}")
-            if kind == "freeze":
-                process.send_signal(signal.SIGSTOP)
-                time.sleep(draws.uniform(0.3, 4.0))
-                process.send_signal(signal.SIGCONT)
+            kind = draws.choice(["kill", "stop", "freeze", "kill", "stop", "freeze", "kill all", "stop all", "turn"])
+            if kind in ("kill all", "stop all"):
+                self.restart_routers(range(len(self.routers)), kind.split()[0], draws)
+            elif kind == "turn":
+                for number in draws.sample(range(len(self.routers)), draws.randint(2, len(self.routers))):
+                    self.restart_routers([number], draws.choice(["kill", "stop"]), draws)
+            elif kind == "freeze":
+                self.freeze_router(draws.randrange(len(self.routers)), draws)
             else:
-                process.send_signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
-                ended = until(lambda p=process: p.poll() is not None, STOP_LIMIT)
-                self.check(ended, f"{self.routers[number].ip} did not end in time")
-                time.sleep(draws.uniform(0.0, 1.0))
-                self.routers[number].start()
+                self.restart_routers([draws.randrange(len(self.routers))], kind, draws)
+
+    def freeze_router(self, number, draws):
+        process, begun = self.routers[number].process, time.monotonic()
+        self.record(f"freeze {self.routers[number].ip}")
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(draws.uniform(0.3, 4.0))
+        process.send_signal(signal.SIGCONT)
+        self.disturbances[number].append((begun, time.monotonic()))
+
+    def restart_routers(self, numbers, kind, draws):
+        """Ends the routers at the same moment and starts them again together."""
+        begun = time.monotonic()
+        self.record(f"{kind} {[self.routers[number].ip for number in numbers]}")
+        for number in numbers:
+            self.routers[number].process.send_signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+        for number in numbers:
+            ended = until(lambda p=self.routers[number].process: p.poll() is not None, STOP_LIMIT)
+            self.check(ended, f"{self.routers[number].ip} did not end in time")
+        time.sleep(draws.uniform(0.0, 1.0))
+        for number in numbers:
+            self.routers[number].start()
             self.disturbances[number].append((begun, time.monotonic()))
 
     def run(self):
--- a/tests/system/test_store_return_routers.py
+++ b/tests/system/test_store_return_routers.py
@@ -1,5 +1,6 @@
 """The routers' own rows over a return of the store from an older copy."""
 
+import json
 import os
 import sys
 import time
@@ -19,19 +20,26 @@
     def value(self, key):
         return self.store.rows.get((TABLE, key), (None, 0))[0]
 
+    def values(self, keys):
+        """Returns the rows by key. The epoch that those of the routers and of the fleet must name is left out."""
+        values = {key: self.value(key) for key in keys}
+        for key in set(keys) - {"key"}:
+            values[key] = json.loads(values[key])
+            self.assertEqual(values[key].pop("epoch"), self.store.era, key)
+        return values
+
     # Guards against rows and a key of reports that are missing for long after the store has lost them, which are
     # written by several routers or replaced by others, or which each return costs many calls.
     def test_rows_and_key_are_written_again_once(self):
-        keys = ["key"] + [f"router/{router.ip}" for router in self.routers]
-        before = {key: self.value(key) for key in keys}
-        self.assertNotIn(None, before.values())
+        keys = ["key", "epoch"] + [f"router/{router.ip}" for router in self.routers]
+        before = self.values(keys)
         self.leave_and_return(self.first_copy)
         self.assertIsNone(self.value("key"))
         self.store.writes.clear()
         calls = self.store.calls
         self.assertTrue(until(lambda: None not in map(self.value, keys), 4))
         time.sleep(3)
-        self.assertEqual({key: self.value(key) for key in keys}, before)
+        self.assertEqual(self.values(keys), before)
         stored = sorted(key for key, status in self.store.writes if status == 200)
         self.assertEqual(stored, sorted(keys))
         # Three routers ask about twice a second each without a return.
