Crash containment: Quarantines outlive a kill of all routers

Cause: quarantines, their trials and the crashes before them were in the memory of the routers and passed on between them only. Evidence: after the start no router logs a quarantine before three more crashes; the store holds nothing. Change: SuspectArchive keeps them in one row of the store, read before anything is served, written by the first router of the fleet when subjects or trials change, at most once a second. A trial counts from its beginning unless an answer follows. A router grants no trial in its first 2 s, when it does not know the coordinator. Why this works: routers that start take over what the row tells as they take over the quarantines of reports, with the ages of the store's clock. The fixture of test_crashing_parts moved to crashing_fleet.py, unchanged. Cost: one read at each start; no write without a subject that was in two crashes.

--- a/libraries/dispatch/crash_suspects.cc
+++ b/libraries/dispatch/crash_suspects.cc
@@ -168,6 +168,7 @@
   auto& suspect = found->second;
   std::erase_if(suspect.crashes, [&](const Crash& crash) { return crash.at <= at; });
   if (suspect.told_last && *suspect.told_last <= at + kToldTimeLateness) suspect.told_last.reset();
+  if (suspect.trial_begun && *suspect.trial_begun <= at) suspect.trial_begun.reset();
   // An empty suspect stays until `Update`, which tells that its quarantine has ended.
 }
 
@@ -216,6 +217,9 @@
     const auto told_failed = std::min<std::uint64_t>(told.failed_trials, kTrialDelays.size());
     suspect.told_failed_trials = std::max(suspect.told_failed_trials, told_failed);
   }
+  const auto told_spent = std::min<std::uint64_t>(told.spent_trials, kTrialDelays.size());
+  suspect.told_spent_trials =
+      is_newer ? told_spent : std::max(suspect.told_spent_trials, told_spent);
   if (last > suspect.last + kToldTimeLateness) suspect.last = last;
 }
 
@@ -291,6 +295,15 @@
   return std::max(own, told);
 }
 
+std::uint64_t CrashSuspects::SpentTrials(const Suspect& suspect) {
+  auto spent = FailedTrials(suspect);
+  const auto& crashes = suspect.crashes;
+  const bool is_open =
+      suspect.trial_begun && (crashes.empty() || crashes.back().at < *suspect.trial_begun);
+  if (is_open) ++spent;
+  return suspect.told_last ? std::max(spent, suspect.told_spent_trials) : spent;
+}
+
 bool CrashSuspects::IsInQuarantine(core::TimePoint now, std::uint64_t subject) const {
   const auto found = this->suspects.find(subject);
   return found != this->suspects.end() && this->IsConvicted(now, subject, found->second);
@@ -324,7 +337,9 @@
 
 void CrashSuspects::BeginTrial(core::TimePoint now, std::uint64_t subject) {
   const auto found = this->suspects.find(subject);
-  if (found != this->suspects.end()) found->second.last = now;
+  if (found == this->suspects.end()) return;
+  found->second.last = now;
+  found->second.trial_begun = now;
 }
 
 void CrashSuspects::DeferTrial(core::TimePoint now, std::uint64_t subject) {
@@ -362,11 +377,48 @@
   for (const auto& [subject, suspect] : this->suspects) {
     if (news.quarantines.size() >= kMaxQuarantinesPerReport) break;
     if (!this->IsConvicted(now, subject, suspect)) continue;
-    news.quarantines.push_back({subject, FailedTrials(suspect), now - suspect.last});
+    news.quarantines.push_back(
+        {subject, FailedTrials(suspect), now - suspect.last, SpentTrials(suspect)});
   }
   return news;
 }
 
+SuspectNews CrashSuspects::MakeRecord(core::TimePoint now) const {
+  struct Candidate {
+    bool is_convicted = false;
+    core::TimePoint last;
+    std::uint64_t subject = 0;
+
+    auto operator<=>(const Candidate&) const = default;  // NOLINT(modernize-use-nullptr)
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [subject, suspect] : this->suspects) {
+    const bool is_convicted = this->IsConvicted(now, subject, suspect);
+    const bool is_close =
+        suspect.crashes.size() + 1 >= kCrashMoments &&
+        this->CountMoments(subject, suspect, true) + 1 >= this->MomentsNeeded(subject);
+    if (is_convicted || is_close) candidates.push_back({is_convicted, suspect.last, subject});
+  }
+  std::sort(candidates.rbegin(), candidates.rend());
+  if (candidates.size() > kMaxRecordedSubjects) candidates.resize(kMaxRecordedSubjects);
+  SuspectNews record;
+  for (const auto& candidate : candidates) {
+    const auto& suspect = this->suspects.at(candidate.subject);
+    if (candidate.is_convicted) {
+      const auto spent = SpentTrials(suspect);
+      record.quarantines.push_back({candidate.subject, spent, now - suspect.last, spent});
+      continue;
+    }
+    for (const auto& crash : suspect.crashes) {
+      Suspicion suspicion = {
+          .subject = candidate.subject, .crash = crash.identifier, .age = now - crash.at};
+      if (crash.sent_at) suspicion.in_progress = crash.at - *crash.sent_at;
+      record.suspicions.push_back(suspicion);
+    }
+  }
+  return record;
+}
+
 bool CrashSuspects::IsExpired(core::TimePoint now, const Suspect& suspect) {
   if (!suspect.in_quarantine) {
     return !IsTold(now, suspect) && (suspect.crashes.empty() || now - suspect.last > kRetention);
--- a/libraries/dispatch/crash_suspects.h
+++ b/libraries/dispatch/crash_suspects.h
@@ -55,6 +55,8 @@
   std::uint64_t failed_trials = 0;
   /// Time since the latest crash or trial.
   core::Duration age{};
+  /// The same number with a trial of which it is not known yet how it ends.
+  std::uint64_t spent_trials = 0;
 };
 
 /// What the routers tell each other about suspects.
@@ -109,6 +111,7 @@
   static constexpr core::Duration kRetention = std::chrono::minutes(2);
   /// A quarantine lasts for this long after the latest crash, trial or refused request.
   static constexpr core::Duration kQuarantineRetention = std::chrono::minutes(10);
+  static constexpr std::size_t kMaxRecordedSubjects = 64;
 
   /// Records a crash that this router observed with the subjects that were in progress, and queues
   /// it for the reports to the other routers.
@@ -138,6 +141,11 @@
   /// Returns the news for the next report to the other routers. Suspicions and acquittals are
   /// included in several reports, because reports may be lost; quarantines in all.
   SuspectNews TakeNews(core::TimePoint now);
+  /// Returns what a fleet must know again after all of its routers have ended: the quarantines, and
+  /// the crashes of subjects that need one more. The latest ones come first; there are at most
+  /// `kMaxRecordedSubjects` subjects. Trials that may have failed count as failed. Give it to
+  /// `Apply` at the start.
+  SuspectNews MakeRecord(core::TimePoint now) const;
   /// Drops what has expired. Returns the quarantines that began or ended since the last call.
   std::vector<QuarantineChange> Update(core::TimePoint now);
 
@@ -162,6 +170,9 @@
     /// the trials that had failed until then.
     std::optional<core::TimePoint> told_last;
     std::uint64_t told_failed_trials = 0;
+    std::uint64_t told_spent_trials = 0;
+    /// When the latest trial began, if this router granted it or was granted it.
+    std::optional<core::TimePoint> trial_begun;
     /// The coordinator is not asked for a trial before this time.
     core::TimePoint trial_deferred_until;
     /// Time of the latest crash or trial at any router.
@@ -202,6 +213,7 @@
   /// Finds the suspects that explain the crashes of others.
   void FindWorst();
   static std::uint64_t FailedTrials(const Suspect& suspect);
+  static std::uint64_t SpentTrials(const Suspect& suspect);
   static bool IsTold(core::TimePoint now, const Suspect& suspect);
   static bool IsExpired(core::TimePoint now, const Suspect& suspect);
 
--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -31,6 +31,7 @@
 constexpr core::Duration kTickPeriod = milliseconds(50);
 // Periods in ticks. Shares follow the demand of some seconds; the settings file is changed by hand.
 constexpr std::uint64_t kTicksPerShareUpdate = 4;
+constexpr std::uint64_t kTicksPerArchiveUpdate = 2;
 constexpr std::uint64_t kTicksPerLogWrite = 4;
 constexpr std::uint64_t kTicksPerLoadLine = 20;
 constexpr std::uint64_t kTicksPerSettingsCheck = 40;
@@ -110,6 +111,7 @@
   this->coordinator = std::make_unique<EngineCoordinator>(this->state, *this->peers);
   this->sync = std::make_unique<StoreSync>(this->state, this->store, this->pool, *this->peers,
                                            [this] { this->ApplyCallerLimits(); });
+  this->suspect_archive = std::make_unique<SuspectArchive>(this->state, this->store);
   const auto& settings = this->state.settings;
   BOOST_OUTCOME_TRY(
       this->caller_server,
@@ -176,7 +178,7 @@
   this->AwaitSignals();
   this->ScheduleTick();
   this->peers->Start();
-  this->sync->Start();
+  asio::co_spawn(this->io, this->StartSync(), asio::detached);
   this->io.run();
   this->log.Flush();
 }
@@ -195,6 +197,12 @@
   });
 }
 
+// Nothing is served without a configuration. What crashes runners must be known before that.
+asio::awaitable<void> Edge::StartSync() {
+  co_await this->suspect_archive->LoadFirst();
+  this->sync->Start();
+}
+
 void Edge::ScheduleTick() {
   this->tick_timer.expires_after(kTickPeriod);
   this->tick_timer.async_wait([this](const boost::system::error_code& error) {
@@ -214,15 +222,16 @@
 void Edge::Tick() {
   ++this->ticks;
   this->sync->RemoveLapsedRunners();
+  this->sync->UpdateKnowledge();
   EndLapsedEvacuations(this->state);
   if (this->ticks % kTicksPerSettingsCheck == 0) this->sync->RemoveSilentRouters();
   // A surge must be limited at once; an existing level follows the demand of some seconds.
   const bool is_limited = !std::isinf(this->state.share_level);
   if (!is_limited || this->ticks % kTicksPerShareUpdate == 0) UpdateShareLevel(this->state);
   if (!this->state.suspects.empty()) this->UpdateSuspects();
+  if (this->ticks % kTicksPerArchiveUpdate == 0) this->suspect_archive->Update();
   if (this->ticks % kTicksPerSettingsCheck == 0) this->ReloadSettings();
   const bool ready = this->IsReady();
-  this->sync->UpdateKnowledge();
   if (ready != this->was_ready) {
     this->was_ready = ready;
     this->log.Write(LogLevel::kInfo, "readiness", {{"ready", ready}});
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -23,6 +23,7 @@
 #include "services/pomelospar_edge/request_session.h"
 #include "services/pomelospar_edge/router_state.h"
 #include "services/pomelospar_edge/store_sync.h"
+#include "services/pomelospar_edge/suspect_archive.h"
 
 namespace pomelospar::edge {
 
@@ -43,6 +44,8 @@
        adapter::InstanceSettings settings);
   core::Result<void> Listen();
   void AwaitSignals();
+  /// Begins to follow the store.
+  boost::asio::awaitable<void> StartSync();
   void Tick();
   void ScheduleTick();
   /// Ends quarantines that are due, and logs those that began or ended.
@@ -86,6 +89,7 @@
   std::unique_ptr<PeerExchange> peers;
   std::unique_ptr<EngineCoordinator> coordinator;
   std::unique_ptr<StoreSync> sync;
+  std::unique_ptr<SuspectArchive> suspect_archive;
   /// Sessions of the requests in progress.
   std::unordered_set<RequestSession*> sessions;
   std::unique_ptr<http::HttpServer> caller_server;
--- a/services/pomelospar_edge/engine_coordinator.cc
+++ b/services/pomelospar_edge/engine_coordinator.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/dispatch/policy_knowledge.h"
+
 namespace pomelospar::edge {
 namespace {
 
@@ -143,7 +145,7 @@
   const std::string coordinator(*dispatch::ChooseCoordinator(subject, live_routers));
   auto& suspects = this->state.suspects;
   if (coordinator == this->state.settings.ip) {
-    co_return suspects.TryGrantTrial(this->state.clock.now(), subject);
+    co_return this->TryGrantCrashTrial(subject);
   }
   const dispatch::PlacementProposal proposal = {.engine = subject, .is_crash_trial = true};
   const dispatch::EngineLoad no_load;
@@ -157,6 +159,13 @@
   co_return is_granted;
 }
 
+// A router that has just started does not know the others, of which one may be the coordinator.
+bool EngineCoordinator::TryGrantCrashTrial(std::uint64_t subject) {
+  const auto now = this->state.clock.now();
+  if (now - this->started_at < dispatch::kPeerDiscovery) return false;
+  return this->state.suspects.TryGrantTrial(now, subject);
+}
+
 bool EngineCoordinator::TryGrantColdStart(const Runner& runner) {
   const auto now = this->state.clock.now();
   // The key is read together with the rows of the routers. Before that, this router takes itself
@@ -190,8 +199,7 @@
   const auto& proposal = *report.proposal;
   dispatch::PlacementReply reply = {.id = proposal.id};
   if (proposal.is_crash_trial) {
-    reply.is_accepted =
-        this->state.suspects.TryGrantTrial(this->state.clock.now(), proposal.engine);
+    reply.is_accepted = this->TryGrantCrashTrial(proposal.engine);
     this->Reply(report.sender, reply);
     return;
   }
--- a/services/pomelospar_edge/engine_coordinator.h
+++ b/services/pomelospar_edge/engine_coordinator.h
@@ -58,6 +58,7 @@
                                                 dispatch::PlacementProposal proposal);
   /// Grants a start at a cold runner if this router is its coordinator.
   bool TryGrantColdStart(const Runner& runner);
+  bool TryGrantCrashTrial(std::uint64_t subject);
   void OnPartialReport(dispatch::PeerReport report);
   void Decide(dispatch::PeerReport report);
   void Reply(const std::string& sender, const dispatch::PlacementReply& reply);
--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -174,6 +174,7 @@
     encoded->set_subject(quarantine.subject);
     encoded->set_age_ms(WholeMilliseconds(quarantine.age));
     encoded->set_failed_trials(quarantine.failed_trials);
+    encoded->set_spent_trials(quarantine.spent_trials);
   }
 }
 
@@ -189,8 +190,8 @@
     news.acquittals.push_back({acquittal.subject(), DecodeAge(acquittal.age_ms())});
   }
   for (const auto& quarantine : message.quarantines()) {
-    news.quarantines.push_back(
-        {quarantine.subject(), quarantine.failed_trials(), DecodeAge(quarantine.age_ms())});
+    news.quarantines.push_back({quarantine.subject(), quarantine.failed_trials(),
+                                DecodeAge(quarantine.age_ms()), quarantine.spent_trials()});
   }
   return news;
 }
@@ -251,8 +252,8 @@
   report.cold_runners = DecodeColdRunners(message);
   if (message.has_evacuations()) report.evacuations = Decode(message.evacuations());
   report.policy_version = message.policy_version();
-  if (message.has_policy()) report.policy = Decode(message.policy());
   report.policy_is_unconfirmed = message.policy_unconfirmed();
+  if (message.has_policy()) report.policy = Decode(message.policy());
   if (message.has_directory()) report.directory = Decode(message.directory());
   if (message.has_store_regained_at_ms()) {
     report.store_regained_at = std::chrono::milliseconds(message.store_regained_at_ms());
@@ -296,8 +297,8 @@
   EncodeColdRunners(report.cold_runners, message);
   if (report.evacuations) Encode(*report.evacuations, *message.mutable_evacuations());
   message.set_policy_version(report.policy_version);
-  if (report.policy) Encode(*report.policy, *message.mutable_policy());
   message.set_policy_unconfirmed(report.policy_is_unconfirmed);
+  if (report.policy) Encode(*report.policy, *message.mutable_policy());
   if (report.directory) Encode(*report.directory, *message.mutable_directory());
   if (report.store_regained_at) {
     message.set_store_regained_at_ms(FloorMilliseconds(*report.store_regained_at));
--- /dev/null
+++ b/services/pomelospar_edge/suspect_archive.cc
@@ -0,0 +1,134 @@
+#include "services/pomelospar_edge/suspect_archive.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <string>
+#include <utility>
+
+#include "libraries/dispatch/policy_knowledge.h"
+#include "services/pomelospar_edge/suspect_row.h"
+
+namespace pomelospar::edge {
+namespace {
+
+namespace asio = boost::asio;
+using core::LogLevel;
+
+// A table of its own, because routers wait for changes of the table with their rows.
+constexpr std::string_view kSuspectTable = "pomelospar-suspects";
+constexpr std::string_view kSuspectRow = "fleet";
+constexpr core::Duration kCallTimeout = std::chrono::milliseconds(700);
+// Shortest time between two calls for the row.
+constexpr core::Duration kCallPause = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+SuspectArchive::SuspectArchive(RouterState& router_state, adapter::StoreClient& client)
+    : state(router_state), store(client), started_at(router_state.clock.now()) {}
+
+// Before it knows the others, a router would take itself for the first one.
+bool SuspectArchive::IsWriter() const {
+  return this->state.clock.now() - this->started_at >= dispatch::kPeerDiscovery &&
+         this->state.peers.RankOf(this->state.settings.ip, "") == 0;
+}
+
+asio::awaitable<void> SuspectArchive::LoadFirst() {
+  this->is_busy = true;
+  co_await this->Load();
+  this->is_busy = false;
+}
+
+asio::awaitable<void> SuspectArchive::Load() {
+  const auto asked_at = this->state.clock.since_boot();
+  const auto rows = co_await this->store.ReadTable(std::string(kSuspectTable), kCallTimeout);
+  this->next_call = this->state.clock.now() + kCallPause;
+  if (!rows) {
+    this->state.log.Write(LogLevel::kWarning, "suspects_unread", {{"error", rows.error().message}});
+    co_return;
+  }
+  const auto& answer = rows.value();
+  this->must_read = false;
+  this->has_read = true;
+  this->is_foreign = false;
+  this->read_changes = this->store.epochs().changes;
+  this->store_clock = {};
+  if (answer.stamp) {
+    this->store_clock.Record(asked_at, this->state.clock.since_boot(), *answer.stamp);
+  }
+  this->stored = {};
+  this->stored_version = 0;
+  for (const auto& row : answer.rows) {
+    if (row.key != kSuspectRow || row.removed) continue;
+    this->stored_version = row.version;
+    const auto decoded = DecodeSuspectRow(row.value);
+    if (!decoded) {
+      this->is_foreign = core::Is(decoded.error(), core::ErrorKind::kInvalidArgument);
+      this->state.log.Write(LogLevel::kWarning, "suspects_unusable",
+                            {{"error", decoded.error().message}});
+      continue;
+    }
+    this->stored = RecordAt(decoded.value(), answer.stamp, answer.epoch);
+    this->state.suspects.Apply(this->state.clock.now(), this->stored);
+    this->state.log.Write(LogLevel::kInfo, "suspects_read",
+                          {{"quarantines", std::uint64_t{this->stored.quarantines.size()}},
+                           {"crashes", std::uint64_t{this->stored.suspicions.size()}}});
+  }
+}
+
+void SuspectArchive::Update() {
+  const auto now = this->state.clock.now();
+  if (this->is_busy || this->state.stop || now < this->next_call) return;
+  if (this->store.epochs().changes != this->read_changes) this->must_read = true;
+  const bool is_writer = this->IsWriter();
+  if (!this->has_read || (is_writer && this->must_read)) {
+    this->is_busy = true;
+    asio::co_spawn(this->state.io, this->LoadAndSave(), asio::detached);
+    return;
+  }
+  if (!is_writer || this->is_foreign) return;
+  if (this->state.suspects.empty() && this->stored.quarantines.empty() &&
+      this->stored.suspicions.empty()) {
+    return;
+  }
+  if (HaveSameContent(this->state.suspects.MakeRecord(now), this->stored)) return;
+  this->is_busy = true;
+  asio::co_spawn(this->state.io, this->LoadAndSave(), asio::detached);
+}
+
+asio::awaitable<void> SuspectArchive::LoadAndSave() {
+  if (this->must_read) co_await this->Load();
+  // What another writer has put there is part of this router's record now.
+  const bool may_write = !this->must_read && !this->is_foreign && this->IsWriter();
+  const auto record = this->state.suspects.MakeRecord(this->state.clock.now());
+  if (may_write && !HaveSameContent(record, this->stored)) co_await this->Save();
+  this->is_busy = false;
+}
+
+asio::awaitable<void> SuspectArchive::Save() {
+  const auto now = this->state.clock.now();
+  const SuspectRow row = {
+      .record = this->state.suspects.MakeRecord(now),
+      .written_at = this->store_clock.EarliestRemote(this->state.clock.since_boot()),
+      .epoch = this->store.epochs().current};
+  const adapter::ConditionalWrite write = {
+      .table = std::string(kSuspectTable),
+      .key = std::string(kSuspectRow),
+      .value = EncodeSuspectRow(row),
+      .expected_version = static_cast<std::int64_t>(this->stored_version)};
+  const auto written = co_await this->store.Write(write, kCallTimeout);
+  this->next_call = this->state.clock.now() + kCallPause;
+  this->state.log.Write(LogLevel::kInfo, "suspects_written",
+                        {{"quarantines", std::uint64_t{row.record.quarantines.size()}},
+                         {"crashes", std::uint64_t{row.record.suspicions.size()}},
+                         {"bytes", std::uint64_t{write.value.size()}},
+                         {"error", written ? std::string() : written.error().message}});
+  if (written) {
+    this->stored = row.record;
+    this->stored_version = written.value();
+    co_return;
+  }
+  // Another router has written the row, or the answer to this write was lost.
+  this->must_read = !core::Is(written.error(), core::ErrorKind::kUnavailable);
+}
+
+}  // namespace pomelospar::edge
--- /dev/null
+++ b/services/pomelospar_edge/suspect_archive.h
@@ -0,0 +1,58 @@
+#ifndef POMELOSPAR_SERVICES_POMELOSPAR_EDGE_SUSPECT_ARCHIVE_H_
+#define POMELOSPAR_SERVICES_POMELOSPAR_EDGE_SUSPECT_ARCHIVE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+
+#include "libraries/core/clock.h"
+#include "libraries/dispatch/crash_suspects.h"
+#include "libraries/dispatch/remote_clock.h"
+#include "libraries/dispatch/store_position.h"
+#include "platform/store_client.h"
+#include "services/pomelospar_edge/router_state.h"
+
+namespace pomelospar::edge {
+
+/// Keeps the suspects of crashes in one row of the store, so that a fleet whose routers were all
+/// killed at once does not let the same request crash runners again. Each router reads the row at
+/// its start. The first router of the fleet by name writes it when a quarantine or a trial begins
+/// or ends, and again when the store has come back from an older copy; the others learn of all that
+/// by reports. The row is written at most once a second.
+class SuspectArchive {
+ public:
+  SuspectArchive(RouterState& state, adapter::StoreClient& store);
+
+  /// Reads the row once. If that fails, `Update` repeats it while this router serves.
+  boost::asio::awaitable<void> LoadFirst();
+  /// Writes the row if it is due and this router's turn. Call several times a second.
+  void Update();
+
+ private:
+  bool IsWriter() const;
+  boost::asio::awaitable<void> Load();
+  boost::asio::awaitable<void> Save();
+  boost::asio::awaitable<void> LoadAndSave();
+
+  RouterState& state;
+  adapter::StoreClient& store;
+  core::TimePoint started_at;
+  dispatch::RemoteClock store_clock;
+  /// Content and version of the row as far as it is known; version 0 if there is none.
+  dispatch::SuspectNews stored;
+  std::uint64_t stored_version = 0;
+  /// Value of `StoreEpochs::changes` when the row was read last.
+  std::uint64_t read_changes = 0;
+  /// True if the row must be read before it is written.
+  bool must_read = true;
+  /// True after the row was read once, so that only the writer reads it again.
+  bool has_read = false;
+  /// True if a later release wrote the row.
+  bool is_foreign = false;
+  /// True while a call is in progress.
+  bool is_busy = false;
+  core::TimePoint next_call{};
+};
+
+}  // namespace pomelospar::edge
+
+#endif  // POMELOSPAR_SERVICES_POMELOSPAR_EDGE_SUSPECT_ARCHIVE_H_
--- a/tests/libraries/dispatch/crash_suspects_test.cc
+++ b/tests/libraries/dispatch/crash_suspects_test.cc
@@ -357,6 +357,75 @@
   EXPECT_TRUE(this->local.empty());
 }
 
+// Guards against a fleet that lets a request crash runners again after a loss of all routers.
+TEST_F(CrashSuspectsTest, RestoresQuarantinesAndTrialsFromARecord) {
+  for (const std::uint64_t crash : {1, 2, 3}) this->Crash(this->local, crash, {7});
+  this->local.Update(this->clock.now());
+  this->clock.Advance(seconds(5));
+  ASSERT_TRUE(this->local.TryGrantTrial(this->clock.now(), 7));
+  // The trial has begun, and all routers are killed before its end is known.
+  const auto record = this->local.MakeRecord(this->clock.now());
+  ASSERT_EQ(record.quarantines.size(), 1U);
+  EXPECT_EQ(record.quarantines[0].spent_trials, 1);
+  CrashSuspects started;
+  started.Apply(this->clock.now(), record);
+  EXPECT_TRUE(this->IsRefused(started, 7));
+  this->clock.Advance(seconds(59));
+  EXPECT_TRUE(this->IsRefused(started, 7));
+  this->clock.Advance(seconds(1));
+  EXPECT_EQ(this->Verdict(started, 7), SuspectVerdict::kTrial);
+  // A second loss of all routers during the next trial.
+  started.BeginTrial(this->clock.now(), 7);
+  CrashSuspects again;
+  again.Apply(this->clock.now(), started.MakeRecord(this->clock.now()));
+  this->clock.Advance(seconds(61));
+  EXPECT_TRUE(this->IsRefused(again, 7));
+}
+
+// Guards against a fleet that begins to count anew although one more crash would have convicted the
+// subject.
+TEST_F(CrashSuspectsTest, RestoresCrashesBeforeTheLastOne) {
+  this->Crash(this->local, 1, {7, 8});
+  this->Crash(this->local, 2, {7, 9});
+  const auto record = this->local.MakeRecord(this->clock.now());
+  EXPECT_EQ(record.suspicions.size(), 2U);
+  this->remote.Apply(this->clock.now(), record);
+  this->Crash(this->remote, 3, {7});
+  EXPECT_TRUE(this->IsRefused(this->remote, 7));
+}
+
+TEST_F(CrashSuspectsTest, RecordsNothingThatWasAnswered) {
+  for (const std::uint64_t crash : {1, 2, 3}) this->Crash(this->local, crash, {7});
+  ASSERT_EQ(this->local.MakeRecord(this->clock.now()).quarantines.size(), 1U);
+  this->Answer(this->local, 7);
+  const auto record = this->local.MakeRecord(this->clock.now());
+  EXPECT_TRUE(record.quarantines.empty());
+  EXPECT_TRUE(record.suspicions.empty());
+}
+
+// Guards against a record that outgrows its row.
+TEST_F(CrashSuspectsTest, BoundsTheRecord) {
+  for (std::uint64_t subject = 1; subject <= 2 * CrashSuspects::kMaxRecordedSubjects; ++subject) {
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+      this->Crash(this->local, 10 * subject + crash, {subject});
+    }
+  }
+  const auto record = this->local.MakeRecord(this->clock.now());
+  ASSERT_EQ(record.quarantines.size(), CrashSuspects::kMaxRecordedSubjects);
+  EXPECT_EQ(record.quarantines[0].subject, 2 * CrashSuspects::kMaxRecordedSubjects);
+}
+
+// Guards against a trial that the others take for one that has not begun.
+TEST_F(CrashSuspectsTest, TellsATrialThatHasBegun) {
+  for (const std::uint64_t crash : {1, 2, 3}) this->Crash(this->local, crash, {7});
+  this->local.Update(this->clock.now());
+  this->Report(this->local, this->remote);
+  this->clock.Advance(seconds(5));
+  this->local.BeginTrial(this->clock.now(), 7);
+  this->Report(this->local, this->remote);
+  EXPECT_EQ(this->remote.MakeRecord(this->clock.now()).quarantines[0].spent_trials, 1);
+}
+
 // The state and the reports must not grow with what callers send.
 TEST_F(CrashSuspectsTest, IsBounded) {
   for (std::uint64_t crash = 0; crash < 40; ++crash) {
--- a/tests/system/test_crashing_parts.py
+++ b/tests/system/test_crashing_parts.py
@@ -1,6 +1,5 @@
 """Several routers while runners crash: under one part of prompts, and for reasons of their own."""
 
-import itertools
 import os
 import random
 import sys
@@ -9,24 +8,19 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from platform_router import KEY, Router, until  # noqa: E402
-from table_platform import Platform, part_identifiers  # noqa: E402
-
-SEED = 1
-CRASHING_PART = "bad1"
-# Time in seconds in which a router discovers the others.
-DISCOVERY_SECONDS = 2.0
-# The users' limits: at most this many requests with the part may reach runners later than
-# CONTAINMENT_SECONDS after the fifth crash; sound requests are served again at twice that time.
+from crashing_fleet import (  # noqa: E402
+    CONTAINMENT_SECONDS, CRASHING_PART, DISCOVERY_SECONDS, MOMENT_SECONDS, REQUESTS_AFTER_CONTAINMENT, SEED,
+    CrashingFleetTestCase)
+from platform_router import until  # noqa: E402
+from table_platform import part_identifiers  # noqa: E402
+
+# The users' limits: requests with the part are contained CONTAINMENT_SECONDS after the fifth crash; sound
+# requests are served again at twice that time.
 CRASHES = 5
-CONTAINMENT_SECONDS = 3.0
-REQUESTS_AFTER_CONTAINMENT = 3
 SERVED_SHARE = 0.5
 # Times in seconds without a crash, and with requests that crash runners.
 CALM_SECONDS = 2.0
 TROUBLE_SECONDS = 16.0
-# Longer than the time in seconds within which crashes count as one.
-MOMENT_SECONDS = 1.0
 # A look-up that crashes runners comes again this often, after a pause in seconds in which all runners start
 # again.
 LOOK_UPS = 4
@@ -35,58 +29,7 @@
 CRASH_RECOVERY_SECONDS = 3.0
 
 
-class CrashingPartsTest(unittest.TestCase):
-    def setUp(self):
-        self.random = random.Random(SEED)
-        self.numbers = itertools.count(1)
-        self.platform = Platform()
-        self.platform.configure(3, [KEY])
-        self.runners = []
-        self.past_runners = []
-        self.results = []
-        self.stopping = threading.Event()
-        self.threads = []
-
-    def start_fleet(self, service, count, **attributes):
-        for _ in range(count):
-            runner = self.platform.add_runner(f"i-{next(self.numbers)}", service)
-            for name, value in attributes.items():
-                setattr(runner, name, value)
-            self.runners.append(runner)
-        self.routers = [
-            Router(self.platform.store_port, f"127.0.0.{n}", domain) for n, domain in ((1, "a"), (2, "b"), (3, "c"))
-        ]
-        for router in self.routers:
-            self.addCleanup(router.end)
-        self.addCleanup(self.stop)
-        for router in self.routers:
-            self.assertTrue(until(router.is_ready, 5))
-        time.sleep(DISCOVERY_SECONDS)
-        self.run_in_background(self.restart_crashed_runners)
-
-    def run_in_background(self, function, *arguments):
-        self.threads.append(threading.Thread(target=function, args=arguments, daemon=True))
-        self.threads[-1].start()
-
-    def stop(self):
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join(10)
-        self.threads.clear()
-
-    def restart_crashed_runners(self):
-        delays = random.Random(SEED)
-        due = {}
-        while not self.stopping.is_set():
-            for index, runner in enumerate(self.runners):
-                if runner.crashed_at is None:
-                    continue
-                due.setdefault(runner, runner.crashed_at + delays.uniform(1.0, 2.5))
-                if time.monotonic() >= due[runner]:
-                    self.past_runners.append(runner)
-                    self.runners[index] = self.platform.restart_runner(runner, f"i-{next(self.numbers)}")
-            time.sleep(0.02)
-
+class CrashingPartsTest(CrashingFleetTestCase):
     def call_repeatedly(self, prompt, pause, seed, path="/s/1", method="POST", equal_bodies=False):
         """Sends requests, each with a prompt of its own, to routers drawn at random."""
         draws = random.Random(seed)
@@ -111,9 +54,6 @@
         self.assertGreaterEqual(len(sent), 20)
         return sum(sent) / len(sent)
 
-    def all_runners(self):
-        return self.past_runners + self.runners
-
     def check_containment(self, equal_bodies):
         self.start_fleet("engines", 8, crashing_part=CRASHING_PART, execution_seconds=0.05)
 
@@ -158,18 +98,6 @@
     def test_serves_requests_whose_path_and_body_equal_those_of_crashing_ones(self):
         self.check_containment(equal_bodies=True)
 
-    def send_crashing(self, router):
-        attempt = f"attempt-{next(self.numbers)}"
-        headers = {"X-Prompt-Prefix": f"a1:500,{CRASHING_PART}:40,{next(self.numbers):x}:300"}
-        return router.send(attempt, "/s/1", headers=headers, timeout=4)[0]
-
-    def count_crashing_requests(self):
-        return sum(
-            CRASHING_PART in part_identifiers(request["headers"])
-            for runner in self.all_runners()
-            for request in runner.requests
-        )
-
     # Guards against a fleet that forgets which part crashes runners when all of its routers are restarted in
     # turn, and against a trial at each router when one is due.
     def test_containment_outlives_a_restart_of_each_router(self):
