Crash containment: The record's ages are renewed after a return of the store

Cause: a row that was written in another epoch has ages of unknown offset. The writer left it as it was if it named the same subjects, and took its ages for its own; a request that was sound again then waited up to a minute longer for its trial. Change: the writer keeps what it knows itself, and writes the row again if it is of another epoch.

--- a/services/pomelospar_edge/suspect_archive.cc
+++ b/services/pomelospar_edge/suspect_archive.cc
@@ -56,6 +56,7 @@
     this->store_clock.Record(asked_at, this->state.clock.since_boot(), *answer.stamp);
   }
   this->stored = {};
+  this->stored_epoch.reset();
   this->stored_version = 0;
   for (const auto& row : answer.rows) {
     if (row.key != kSuspectRow || row.removed) continue;
@@ -68,13 +69,33 @@
       continue;
     }
     this->stored = RecordAt(decoded.value(), answer.stamp, answer.epoch);
-    this->state.suspects.Apply(this->state.clock.now(), this->stored);
+    this->stored_epoch = decoded.value().epoch;
+    this->Restore(answer.epoch);
     this->state.log.Write(LogLevel::kInfo, "suspects_read",
                           {{"quarantines", std::uint64_t{this->stored.quarantines.size()}},
                            {"crashes", std::uint64_t{this->stored.suspicions.size()}}});
   }
 }
 
+void SuspectArchive::Restore(dispatch::StoreEpoch epoch) {
+  const auto now = this->state.clock.now();
+  auto record = this->stored;
+  // Ages of another epoch are too low. What this router knows itself is more exact.
+  if (this->stored_epoch != epoch) {
+    std::erase_if(record.quarantines, [&](const dispatch::Quarantine& entry) {
+      return this->state.suspects.IsInQuarantine(now, entry.subject);
+    });
+  }
+  this->state.suspects.Apply(now, record);
+}
+
+bool SuspectArchive::MustSave() const {
+  const auto record = this->state.suspects.MakeRecord(this->state.clock.now());
+  if (!HaveSameContent(record, this->stored)) return true;
+  const bool is_empty = record.quarantines.empty() && record.suspicions.empty();
+  return !is_empty && this->stored_epoch != this->store.epochs().current;
+}
+
 void SuspectArchive::Update() {
   const auto now = this->state.clock.now();
   if (this->is_busy || this->state.stop || now < this->next_call) return;
@@ -90,17 +111,20 @@
       this->stored.suspicions.empty()) {
     return;
   }
-  if (HaveSameContent(this->state.suspects.MakeRecord(now), this->stored)) return;
+  if (!this->MustSave()) return;
   this->is_busy = true;
   asio::co_spawn(this->state.io, this->LoadAndSave(), asio::detached);
 }
 
 asio::awaitable<void> SuspectArchive::LoadAndSave() {
-  if (this->must_read) co_await this->Load();
+  if (this->must_read) {
+    co_await this->Load();
+  }
   // What another writer has put there is part of this router's record now.
   const bool may_write = !this->must_read && !this->is_foreign && this->IsWriter();
-  const auto record = this->state.suspects.MakeRecord(this->state.clock.now());
-  if (may_write && !HaveSameContent(record, this->stored)) co_await this->Save();
+  if (may_write && this->MustSave()) {
+    co_await this->Save();
+  }
   this->is_busy = false;
 }
 
@@ -124,6 +148,7 @@
                          {"error", written ? std::string() : written.error().message}});
   if (written) {
     this->stored = row.record;
+    this->stored_epoch = row.epoch;
     this->stored_version = written.value();
     co_return;
   }
--- a/services/pomelospar_edge/suspect_archive.h
+++ b/services/pomelospar_edge/suspect_archive.h
@@ -32,13 +32,18 @@
   boost::asio::awaitable<void> Load();
   boost::asio::awaitable<void> Save();
   boost::asio::awaitable<void> LoadAndSave();
+  /// Adds what the row tells, read in this epoch, to what this router knows.
+  void Restore(dispatch::StoreEpoch epoch);
+  /// True if the row lacks what this router knows, or its ages are those of another epoch.
+  bool MustSave() const;
 
   RouterState& state;
   adapter::StoreClient& store;
   core::TimePoint started_at;
   dispatch::RemoteClock store_clock;
-  /// Content and version of the row as far as it is known; version 0 if there is none.
+  /// Content, epoch and version of the row as far as it is known; version 0 if there is none.
   dispatch::SuspectNews stored;
+  dispatch::StoreEpoch stored_epoch;
   std::uint64_t stored_version = 0;
   /// Value of `StoreEpochs::changes` when the row was read last.
   std::uint64_t read_changes = 0;
