Store: The row of the epoch is written once

Cause: the writer learned of its own row by the watch, which may pause for 20 s, and repeated the write every 3 s until then. Change: it takes over the version from the answer; after a conflict it waits for the watch.

--- a/services/pomelospar_edge/store_registration.cc
+++ b/services/pomelospar_edge/store_registration.cc
@@ -36,8 +36,8 @@
 // exchange reports within 3 s. Each router of the fleet may propose, so that a shorter pause would
 // add to the load of a failing store.
 constexpr core::Duration kKeyProposalPause = milliseconds(2000);
-// Pause after a write of the row of the epoch, before it may be repeated.
-constexpr core::Duration kEpochRowPause = milliseconds(3000);
+// Pause after a failed write of the row of the epoch.
+constexpr core::Duration kEpochRowPause = milliseconds(2000);
 // Longest pause after a failed call that adds or removes this router's row.
 constexpr core::Duration kRegistrationPause = milliseconds(1000);
 // A router that was not heard of for this time has ended without removing its row, which would
@@ -157,17 +157,23 @@
 }
 
 asio::awaitable<void> StoreSync::WriteEpochRow() {
+  const auto epoch = this->store.epochs().current;
   const adapter::ConditionalWrite write = {
       .table = std::string(kFleetTable),
       .key = std::string(kEpochRow),
-      .value = EncodeEpochRow(this->store.epochs().current),
+      .value = EncodeEpochRow(epoch),
       .expected_version = static_cast<std::int64_t>(this->knowledge.fleet_row_version())};
   const auto written = co_await this->store.Write(write, kStoreCallTimeout);
   this->router.log.Write(LogLevel::kInfo, "epoch_written",
                          {{"error", written ? std::string() : written.error().message}});
-  // The watch reads the row meanwhile, whoever has written it.
-  asio::steady_timer timer(this->router.io, kEpochRowPause);
-  co_await timer.async_wait(kTuple);
+  if (written) {
+    this->knowledge.SetFleetRow(dispatch::PolicyStatement{epoch, 0, written.value()});
+  } else {
+    // If another router has written the row, the watch reads it meanwhile.
+    const bool is_conflict = core::Is(written.error(), core::ErrorKind::kConflict);
+    asio::steady_timer timer(this->router.io, is_conflict ? kLongestRouterPause : kEpochRowPause);
+    co_await timer.async_wait(kTuple);
+  }
   this->is_writing_epoch = false;
 }
 
