Crash containment: Routers serve only once the record was read

Cause: a router that starts while the store is away reads the configuration 0.3 s after the store is back, but the record of suspects up to 1 s after it. Until then a request that crashes runners was unknown. Change: nothing is served before the record was read, for at most 2 s with a configuration; a failed read is repeated after 0.3 s. Test: test_a_look_up_stays_contained_if_the_store_is_away_at_the_start.

--- a/services/pomelospar_edge/edge.cc
+++ b/services/pomelospar_edge/edge.cc
@@ -178,7 +178,8 @@
   this->AwaitSignals();
   this->ScheduleTick();
   this->peers->Start();
-  asio::co_spawn(this->io, this->StartSync(), asio::detached);
+  this->suspect_archive->Start();
+  this->sync->Start();
   this->io.run();
   this->log.Flush();
 }
@@ -197,12 +198,6 @@
   });
 }
 
-// Nothing is served without a configuration. What crashes runners must be known before that.
-asio::awaitable<void> Edge::StartSync() {
-  co_await this->suspect_archive->LoadFirst();
-  this->sync->Start();
-}
-
 void Edge::ScheduleTick() {
   this->tick_timer.expires_after(kTickPeriod);
   this->tick_timer.async_wait([this](const boost::system::error_code& error) {
@@ -348,7 +343,7 @@
 
 bool Edge::IsReady() const {
   if (this->state.stop || !this->state.policy || !this->state.runners_loaded) return false;
-  if (this->state.policy_is_older) return false;
+  if (this->state.policy_is_older || this->state.awaits_suspects) return false;
   if (this->state.processor.IsOverloaded(this->state.clock.now())) return false;
   if (!this->state.settings.keys_fail_closed) return true;
   const auto limit = std::chrono::duration_cast<core::Duration>(
--- a/services/pomelospar_edge/edge.h
+++ b/services/pomelospar_edge/edge.h
@@ -44,8 +44,6 @@
        adapter::InstanceSettings settings);
   core::Result<void> Listen();
   void AwaitSignals();
-  /// Begins to follow the store.
-  boost::asio::awaitable<void> StartSync();
   void Tick();
   void ScheduleTick();
   /// Ends quarantines that are due, and logs those that began or ended.
--- a/services/pomelospar_edge/request_admission.cc
+++ b/services/pomelospar_edge/request_admission.cc
@@ -28,6 +28,9 @@
 
 std::optional<Refusal> CheckRoute(const RouterState& state, const dispatch::Route* route) {
   if (!state.policy) return Refusal{503, "no configuration yet", kRetryAfterWhileUnconfirmed};
+  if (state.awaits_suspects) {
+    return Refusal{503, "crashing requests are not known yet", kRetryAfterWhileUnconfirmed};
+  }
   if (state.policy_is_older) {
     return Refusal{503, "a newer configuration is missing in the store",
                    kRetryAfterWhileUnconfirmed};
--- a/services/pomelospar_edge/router_state.h
+++ b/services/pomelospar_edge/router_state.h
@@ -204,6 +204,9 @@
   /// time is treated as one that retries after a refusal.
   std::unordered_map<std::string, core::Duration> longest_caller_timeout;
   dispatch::CrashSuspects suspects;
+  /// True while the record of what crashed runners before this router started is still to be read.
+  /// Nothing is served until then.
+  bool awaits_suspects = false;
   /// Requests that were interrupted by runners which may have crashed, while these are probed, by
   /// the identifier of the crash.
   std::unordered_map<std::uint64_t, std::vector<InterruptedRequest>> interrupted_requests;
--- a/services/pomelospar_edge/suspect_archive.cc
+++ b/services/pomelospar_edge/suspect_archive.cc
@@ -20,6 +20,11 @@
 constexpr core::Duration kCallTimeout = std::chrono::milliseconds(700);
 // Shortest time between two calls for the row.
 constexpr core::Duration kCallPause = std::chrono::milliseconds(1000);
+// Pause after a failed read.
+constexpr core::Duration kFailurePause = std::chrono::milliseconds(300);
+// Longest time for which a router with a configuration serves nothing because the row cannot be
+// read.
+constexpr core::Duration kLongestWait = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -32,16 +37,23 @@
          this->state.peers.RankOf(this->state.settings.ip, "") == 0;
 }
 
-asio::awaitable<void> SuspectArchive::LoadFirst() {
-  this->is_busy = true;
-  co_await this->Load();
-  this->is_busy = false;
+void SuspectArchive::Start() {
+  this->state.awaits_suspects = true;
+  this->Update();
+}
+
+void SuspectArchive::CheckAwaited() {
+  if (!this->state.awaits_suspects) return;
+  const auto now = this->state.clock.now();
+  if (this->state.policy && !this->policy_seen_at) this->policy_seen_at = now;
+  const bool is_late = this->policy_seen_at && now - *this->policy_seen_at >= kLongestWait;
+  this->state.awaits_suspects = !this->has_read && !is_late;
 }
 
 asio::awaitable<void> SuspectArchive::Load() {
   const auto asked_at = this->state.clock.since_boot();
   const auto rows = co_await this->store.ReadTable(std::string(kSuspectTable), kCallTimeout);
-  this->next_call = this->state.clock.now() + kCallPause;
+  this->next_call = this->state.clock.now() + (rows ? kCallPause : kFailurePause);
   if (!rows) {
     this->state.log.Write(LogLevel::kWarning, "suspects_unread", {{"error", rows.error().message}});
     co_return;
@@ -97,6 +109,7 @@
 }
 
 void SuspectArchive::Update() {
+  this->CheckAwaited();
   const auto now = this->state.clock.now();
   if (this->is_busy || this->state.stop || now < this->next_call) return;
   if (this->store.epochs().changes != this->read_changes) this->must_read = true;
--- a/services/pomelospar_edge/suspect_archive.h
+++ b/services/pomelospar_edge/suspect_archive.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <optional>
 
 #include "libraries/core/clock.h"
 #include "libraries/dispatch/crash_suspects.h"
@@ -22,8 +23,9 @@
  public:
   SuspectArchive(RouterState& state, adapter::StoreClient& store);
 
-  /// Reads the row once. If that fails, `Update` repeats it while this router serves.
-  boost::asio::awaitable<void> LoadFirst();
+  /// Begins to read the row. Nothing is served before it was read, or could not be read for some
+  /// time although the store has told the configuration.
+  void Start();
   /// Writes the row if it is due and this router's turn. Call several times a second.
   void Update();
 
@@ -32,6 +34,7 @@
   boost::asio::awaitable<void> Load();
   boost::asio::awaitable<void> Save();
   boost::asio::awaitable<void> LoadAndSave();
+  void CheckAwaited();
   /// Adds what the row tells, read in this epoch, to what this router knows.
   void Restore(dispatch::StoreEpoch epoch);
   /// True if the row lacks what this router knows, or its ages are those of another epoch.
@@ -40,6 +43,8 @@
   RouterState& state;
   adapter::StoreClient& store;
   core::TimePoint started_at;
+  /// When a configuration was first seen in force while the row was awaited.
+  std::optional<core::TimePoint> policy_seen_at;
   dispatch::RemoteClock store_clock;
   /// Content, epoch and version of the row as far as it is known; version 0 if there is none.
   dispatch::SuspectNews stored;
--- a/tests/system/test_crash_containment_restarts.py
+++ b/tests/system/test_crash_containment_restarts.py
@@ -83,6 +83,29 @@
         self.start_fleet("engines", 6, crashing_part=CRASHING_PART, execution_seconds=0.02)
         self.check_kills(self.send_crashing)
 
+    # Guards against routers that serve before they know what crashed runners, because the store was away when they
+    # started and the configuration is read first when it is back.
+    def test_a_look_up_stays_contained_if_the_store_is_away_at_the_start(self):
+        self.start_fleet("desk", 3, crashing_part=CRASHING_PART, execution_seconds=0.01)
+        self.crash_runners(self.look_up)
+        time.sleep(RECORD_SECONDS)
+        before = len(self.crash_times())
+        for mode in ("reset", 503):
+            self.platform.store.mode = mode
+            for router in self.routers:
+                router.process.kill()
+                router.process.wait()
+                router.start()
+            time.sleep(1)
+            self.platform.store.mode = "ok"
+            end = time.monotonic() + 3
+            while time.monotonic() < end:
+                for router in self.routers:
+                    self.look_up(router)
+                time.sleep(0.05)
+        self.stop()
+        self.assertLessEqual(len(self.crash_times()) - before, 1)
+
     # Guards against a request that is refused for long after it has become sound.
     def test_a_sound_request_is_served_after_a_kill(self):
         self.start_fleet("desk", 3, crashing_part=CRASHING_PART, execution_seconds=0.01)
