--- a/libraries/dispatch/policy_knowledge.h
+++ b/libraries/dispatch/policy_knowledge.h
@@ -110,8 +110,8 @@
   StoreEpoch epoch;
   /// Since when evidence is awaited; unset if it is not. Set anew by the first answer of the store.
   std::optional<core::Duration> awaiting_since = core::Duration::zero();
-  /// True if this process began to await evidence at its start. It then has no knowledge of its
-  /// own.
+  /// True if this process has awaited evidence since its start, so that it has no knowledge of its
+  /// own. False for one that was cut off at a return of the store.
   bool has_just_started = true;
   bool has_seen_epoch = false;
   /// True if the store has come back while evidence was awaited, or since a row was written that
--- a/services/pomelospar_edge/suspect_archive.h
+++ b/services/pomelospar_edge/suspect_archive.h
@@ -16,9 +16,9 @@
 
 /// Keeps the suspects of crashes in one row of the store, so that a fleet whose routers were all
 /// killed at once does not let the same request crash runners again. Each router reads the row at
-/// its start. The first router of the fleet by name writes it when a quarantine or a trial begins
-/// or ends, and again when the store has come back from an older copy; the others learn of all that
-/// by reports. The row is written at most once a second.
+/// its start. The first router of the fleet by name writes it when a quarantine begins or ends, at
+/// most once a second, and again when the store has come back from an older copy. A router that is
+/// about to send a trial writes it before that. All else the routers learn by reports.
 class SuspectArchive {
  public:
   SuspectArchive(RouterState& state, adapter::StoreClient& store);
@@ -30,12 +30,15 @@
   void Update();
 
  private:
+  /// True if this router is the one that writes the row for the fleet.
   bool IsWriter() const;
   /// Writes the row at once, whichever router's turn it is. Returns false if that fails.
   boost::asio::awaitable<bool> SaveNow();
   boost::asio::awaitable<void> Load();
   boost::asio::awaitable<void> Save();
+  /// Reads the row if it must be read, and writes it if it must say something else.
   boost::asio::awaitable<void> LoadAndSave();
+  /// Updates `RouterState::awaits_suspects`.
   void CheckAwaited();
   /// Adds what the row tells, read in this epoch, to what this router knows.
   void Restore(dispatch::StoreEpoch epoch);
