--- a/services/pomelospar_edge/suspect_row.cc
+++ b/services/pomelospar_edge/suspect_row.cc
@@ -87,8 +87,9 @@
 std::string EncodeSuspectRow(const SuspectRow& row) {
   Json json = {{"format", kFormat}, {"quarantines", Json::array()}, {"crashes", Json::array()}};
   if (row.epoch) json["epoch"] = *row.epoch;
-  if (row.written_at)
+  if (row.written_at) {
     json["at-ms"] = std::chrono::duration_cast<milliseconds>(*row.written_at).count();
+  }
   for (const auto& entry : row.record.quarantines) {
     json["quarantines"].push_back({{"subject", fmt::format("{:x}", entry.subject)},
                                    {"trials", entry.spent_trials},
