Store: Routers write their rows only after they have read the operator's table

Cause: after a return of the store, the router that queries for the others asks for the operator's table and for the rows of the routers at the same time. If the rows are answered first, its own row is missing and is written before it is known what the store holds, so that all that the router knows looks lost.

Change: a router writes its row only after it has read the operator's table in the current epoch, and starts the registration again if the store returns meanwhile. That the row is missing is kept in a member, so that no registration is forgotten while the table is unread.

--- a/services/pomelospar_edge/store_epoch.cc
+++ b/services/pomelospar_edge/store_epoch.cc
@@ -115,7 +115,7 @@
   // After a return of the store, the rows are read at different times by the routers, which spreads
   // their writes too.
   if (!this->IsReadInEpoch(this->router_watch) || this->router.stop) return;
-  if (this->IsRowOutdated()) this->StartRegistration();
+  if (this->is_row_missing || this->IsRowOutdated()) this->StartRegistration();
   const bool is_due = this->is_store_poller.value_or(false) && !this->is_writing_epoch &&
                       this->knowledge.IsFleetRowOutdated(this->router.clock.since_boot());
   if (!is_due) return;
--- a/services/pomelospar_edge/store_registration.cc
+++ b/services/pomelospar_edge/store_registration.cc
@@ -85,7 +85,7 @@
       this->knowledge.RemoveRow(name);
     }
     if (name == this->router.settings.ip) {
-      if (row.removed && this->written_row) this->StartRegistration();
+      if (row.removed && this->written_row) this->is_row_missing = true;
     } else if (entry) {
       this->peers.SetPeer(name, entry->address, entry->domain, row.version);
     } else {
@@ -93,9 +93,8 @@
     }
   }
   if (whole) this->RemoveUnlistedRouters(rows);
-  this->CheckPolicyKnowledge();
-  // The row of the former process at this address has been read now.
-  if (!this->written_row) this->StartRegistration();
+  // Writes this router's row only now that the one of the former process at its address is known.
+  this->UpdateKnowledge();
   if (!this->peers.has_key()) {
     this->router_watch.pause = kRouterPauseWithoutKey;
   } else {
@@ -120,7 +119,7 @@
   }
   this->peers.RemovePeersExcept(listed);
   this->knowledge.OnRowsRead(listed);
-  if (!listed.contains(this->router.settings.ip) && this->written_row) this->StartRegistration();
+  if (!listed.contains(this->router.settings.ip) && this->written_row) this->is_row_missing = true;
 }
 
 RouterRow StoreSync::OwnRow() const {
@@ -142,10 +141,14 @@
 void StoreSync::StartRegistration() {
   // The registration before may still be on its way.
   if (this->is_registering || this->router.stop) return;
+  // The row tells whether the store lacks a configuration. Until the store has answered, all that
+  // this router knows would look lost.
+  if (!this->IsReadInEpoch(this->policy_watch)) return;
   this->is_registering = true;
   this->router.log.Write(LogLevel::kInfo, "registration",
                          {{"again", this->written_row.has_value()}});
   this->written_row.reset();
+  this->is_row_missing = true;
   asio::co_spawn(this->router.io, this->Register(), asio::detached);
 }
 
@@ -236,13 +239,17 @@
                                      .key = RouterRowKey(this->router.settings.ip),
                                      .value = EncodeRouterRow(row)};
   auto written = co_await this->store.Write(std::move(write), kStoreCallTimeout);
-  if (written) this->written_row = row;
+  if (written) {
+    this->written_row = row;
+    this->is_row_missing = false;
+  }
   co_return written;
 }
 
 asio::awaitable<void> StoreSync::Register() {
   asio::steady_timer timer(this->router.io);
-  while (!this->router.stop) {
+  // If the store has come back meanwhile, `UpdateKnowledge` starts the registration again later.
+  while (!this->router.stop && this->IsReadInEpoch(this->policy_watch)) {
     const auto written = co_await this->WriteOwnRow();
     if (written) break;
     timer.expires_after(this->Jitter(kRegistrationPause));
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -226,6 +226,9 @@
   /// The row as this router has written it last; absent until then, and after its removal by
   /// another router.
   std::optional<RouterRow> written_row;
+  /// True while this router's row is to be written: at the start, after the store has lost it or
+  /// another router has removed it, and while `Register` runs.
+  bool is_row_missing = true;
   /// True while `WriteEpochRow` runs.
   bool is_writing_epoch = false;
   /// True while `Register` runs.
--- a/tests/system/table_platform.py
+++ b/tests/system/table_platform.py
@@ -62,6 +62,8 @@
         self.clock_offset_ms = 0
         self.mode = "ok"
         self.write_mode = "ok"
+        # Time in seconds that a read of a table takes, by table.
+        self.read_seconds = {}
         # Key of the row and status of the response of each write that arrived while `mode` was "ok", in order.
         self.writes = []
         self.oldest_version = 0
@@ -143,6 +145,7 @@
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
         if url.path.endswith("rows-tx"):
             return self.write(json.loads(body))
+        await asyncio.sleep(self.read_seconds.get(query["table"], 0))
         if url.path.endswith("rows-get"):
             return self.respond(200, self.answer(query["table"]))
         after = int(query["after-rev"])
--- a/tests/system/test_store_return_routers.py
+++ b/tests/system/test_store_return_routers.py
@@ -45,6 +45,19 @@
         # Three routers ask about twice a second each without a return.
         self.assertLess(self.store.calls - calls, 100)
 
+    # Guards against rows that tell of a lost configuration which the store holds, written by routers that read
+    # the rows of the fleet before the operator's table.
+    def test_rows_name_no_configuration_that_the_store_holds(self):
+        keys = [f"router/{router.ip}" for router in self.routers]
+        before = self.values(keys)
+        self.store.read_seconds["op"] = 0.4
+        self.leave_and_return(self.first_copy)
+        self.store.writes.clear()
+        self.assertTrue(until(lambda: None not in map(self.value, keys), 5))
+        time.sleep(1)
+        self.assertEqual(self.values(keys), before)
+        self.assertEqual(sorted(key for key, _ in self.store.writes if key in keys), keys)
+
     # Guards against routers that cease to send each other reports, because the copy lacks their rows.
     def test_reports_go_on_over_the_return(self):
         before = [len(router.log_lines()) for router in self.routers]
