Store: One decision on missing entries

RemoveLapsedRunner repeated what OnRunnerMissing decides: whether an outage that is known by now gives the entry more time. RemoveLapsedRunners calls OnRunnerMissing again instead. A comment in peer_message.cc whose function had moved to core::WholeMilliseconds is gone. Behaviour is unchanged.

Checked: format, lint of the two files, the 9 tests of test_platform_fleet.py.

--- a/services/pomelospar_edge/peer_message.cc
+++ b/services/pomelospar_edge/peer_message.cc
@@ -144,7 +144,6 @@
   return change;
 }
 
-// Milliseconds, at least 0: the age of something that the sender knows cannot be negative.
 // An age that cannot be true, such as one that would overflow, is taken as this long ago.
 core::Duration DecodeAge(std::uint64_t age_ms) {
   constexpr std::uint64_t kLargestAgeMs = 86'400'000;
--- a/services/pomelospar_edge/store_sync.cc
+++ b/services/pomelospar_edge/store_sync.cc
@@ -437,23 +437,17 @@
     }
   }
   if (due.empty()) return;
-  for (const auto& id : due) this->RemoveLapsedRunner(id);
-  IndexRunners(this->router);
-}
-
-void StoreSync::RemoveLapsedRunner(const std::string& id) {
-  auto& runner = *this->router.runners.at(id);
-  if (!std::exchange(runner.awaits_outage_report, false)) {
-    this->RemoveRunner(id, "its entry did not come back in time");
-    return;
-  }
-  const auto back_by = this->runner_watch.regained_at + kRunnerReturnTime;
-  if (this->router.clock.now() < back_by) {
-    runner.removal_due = back_by;
-    return;
+  for (const auto& id : due) {
+    auto& runner = *this->router.runners.at(id);
+    if (runner.awaits_outage_report) {
+      // Considers the outages that were reported since.
+      runner.removal_due.reset();
+      this->OnRunnerMissing(id);
+    } else {
+      this->RemoveRunner(id, "its entry did not come back in time");
+    }
   }
-  runner.removal_due.reset();
-  this->RemoveRunner(id, "its entry was removed");
+  IndexRunners(this->router);
 }
 
 void StoreSync::RemoveRunner(const std::string& id, std::string_view reason) {
--- a/services/pomelospar_edge/store_sync.h
+++ b/services/pomelospar_edge/store_sync.h
@@ -180,9 +180,6 @@
   /// Call when the runner's entry is missing. Removes the runner at once, or with a delay if the
   /// entry may have gone missing in an outage of the store.
   void OnRunnerMissing(const std::string& id);
-  /// Removes a runner whose `removal_due` has passed, unless other routers have reported an outage
-  /// of the store since.
-  void RemoveLapsedRunner(const std::string& id);
   /// Records the version of a runner's entry after the entry was applied. `is_changed` is false if
   /// it was written without a change.
   void RecordEntryVersion(const adapter::StoreRow& row, bool is_changed);
